--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,652 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package dispatch decides, for one node, which executor gets which txn, and when a txn is given up.
+//
+// How to call it: New once at the start of a node, then At with the clock before each round of events, then one
+// call an event: List, Arrive, Ended, Note, Left, Probed; Settle after the last event of a round. It acts through
+// Door (types.go), which is its only way out; alarms bring their own closure. Nothing here blocks or keeps time.
+package dispatch
+
+import "math"
+
+const (
+	poolSize  = 50   // scores; the design's pool
+	topScore  = 10.0 // points; the design's first place, also what a mean score is divided by
+	unscored  = 0.5  // share of the top score for an executor without scores; the design's start
+	penalty   = 0.3  // factor on H for a time-out, failed connection or error; the design's
+	reward    = 0.15 // added to H by a success; the design's
+	leastH    = 0.1  // H under which an executor is left out; the design's
+	recovery  = 10e9 // ns; time constant of H on its way back to 1; the design's start
+	margin    = 1.0  // jobs over its fair part that make an executor crowded; the least that is not noise
+	firstRoom = 4.0  // slots in flight allowed before anything is known; a small machine's worth
+	cut       = 0.7  // share of the in-flight limit kept when a posting was seen to wait; the usual mild cut
+	overrun   = 2.0  // times the high end of measured running time that make a job overdue; clear of chance
+	highEnd   = 0.9  // quantile taken as high end; the histograms are too small to know more
+	missing   = 1.5  // progress periods without a note that mean standing still; one late note is no proof
+	safety    = 0.7  // part of the cold budget that is used; speeds and hints are guesses
+	halveAt   = 64   // entries at which a histogram is halved; some tens of seconds of a scheme's answers
+)
+
+// places are the scores by rank; the design's start.
+var places = [3]uint8{10, 6, 2}
+
+// spread is a small histogram over ratios or seconds, two bins a doubling from 1/256 upwards.
+type spread struct {
+	bin [36]uint16
+	n   int
+}
+
+func (s *spread) add(v float64) {
+	i := 0
+	if v > 1.0/256 {
+		i = min(int(2*math.Log2(v*256)), len(s.bin)-1)
+	}
+	s.bin[i]++
+	if s.n++; s.n >= halveAt {
+		s.n = 0
+		for i := range s.bin {
+			s.bin[i] /= 2
+			s.n += int(s.bin[i])
+		}
+	}
+}
+
+// at is the q-quantile, or the given value while nothing is known.
+func (s *spread) at(q, unknown float64) float64 {
+	left := q * float64(s.n)
+	for i, c := range s.bin {
+		if left -= float64(c); left < 0 {
+			return math.Exp2((float64(i)+0.5)/2) / 256
+		}
+	}
+	return unknown
+}
+
+// pcg is a permuted congruential generator.
+type pcg uint64
+
+func (g *pcg) unit() float64 {
+	old := uint64(*g)
+	*g = pcg(old*6364136223846793005 + 1442695040888963407)
+	x, rot := uint32((old>>18^old)>>27), uint32(old>>59)
+	return float64(x>>rot|x<<(-rot&31)) / (1 << 32)
+}
+
+// last is how a recent job of one scheme and slot count went at one executor.
+type last struct {
+	at   *Executor
+	time float64
+	lost bool
+}
+
+type family struct {
+	scheme *Scheme
+	slots  float64
+}
+
+// Dispatcher is the decision module of one node.
+type Dispatcher struct {
+	terms  *Terms
+	door   Door
+	now    int64
+	chance pcg
+	fleet  []*Executor
+	queue  []*Txn
+	recent map[family][]last
+	runs   []spread  // by scheme: running time over hint, or in seconds where there is no hint
+	begin  spread    // seconds from sending to the note of the start
+	sizes  []float64 // by kind: most slots seen at work in one executor
+	pumped bool      // an alarm to look at the queue is out
+	asked  int64     // wait before the next call for the list
+}
+
+// New starts the module of one node.
+func New(terms *Terms, seed uint64, door Door, now int64) *Dispatcher {
+	d := &Dispatcher{terms: terms, door: door, now: now, chance: pcg(seed), recent: map[family][]last{},
+		runs: make([]spread, len(terms.Schemes))}
+	d.chance.unit()
+	if terms.Subscribe {
+		door.Watch(true)
+	}
+	return d
+}
+
+// At sets the clock.
+func (d *Dispatcher) At(now int64) { d.now = now }
+
+// Settle ends a round of events: what waits is placed where room came free.
+func (d *Dispatcher) Settle() { d.pump() }
+
+// List takes the list or changes to it; whole says that absent executors are gone.
+func (d *Dispatcher) List(whole bool, members []Member) {
+	for _, e := range d.fleet {
+		if whole {
+			e.State = Gone
+		}
+	}
+	for _, m := range members {
+		e := m.Executor
+		if !e.known || m.Since > e.since {
+			e.h, e.hAt, e.limit, e.freeAt = 1, d.now, firstRoom, 0
+		}
+		if !e.known {
+			e.known = true
+			d.fleet = append(d.fleet, e)
+		}
+		e.State, e.zone, e.kind, e.cell, e.units, e.since = m.State, m.Zone, m.Kind, m.Cell, m.Units, m.Since
+		for e.kind >= len(d.sizes) {
+			d.sizes = append(d.sizes, 1)
+		}
+	}
+	kept := d.fleet[:0]
+	for _, e := range d.fleet {
+		if e.State != Gone {
+			kept = append(kept, e)
+		} else {
+			e.known = false
+		}
+	}
+	clear(d.fleet[len(kept):])
+	d.fleet = kept
+	d.asked = 0
+}
+
+// ListFailed takes the failure of a call for the list. The next call waits longer each time, so that a
+// list service that is down is not pushed further.
+func (d *Dispatcher) ListFailed() {
+	d.asked = min(2*d.asked+d.terms.AskWithin/16, d.terms.AskWithin/2)
+	d.door.Alarm(d.asked, func() { d.door.Watch(true) })
+}
+
+// Arrive takes a txn.
+func (d *Dispatcher) Arrive(t *Txn) {
+	t.arrived = d.now
+	t.aim = min(d.now+t.Scheme.SlaTime+int64(t.Scheme.Stretch*float64(d.work(t))), t.Expiry)
+	t.worth = t.Scheme.Value / max(t.Slots, 1)
+	if !d.terms.ByWork {
+		t.worth /= float64(d.work(t))
+	}
+	// Danger: a txn that is forgotten. This alarm answers it whatever else happens.
+	d.door.Alarm(t.Expiry-d.now-2*d.terms.Tick, func() { d.finish(t) })
+	d.place(t)
+}
+
+// work is what the txn is expected to cost on a standard core.
+func (d *Dispatcher) work(t *Txn) int64 {
+	if t.Hint > 0 {
+		return t.Hint
+	}
+	return max(int64(1e9*d.runs[t.Scheme.Index].at(0.5, float64(t.Scheme.SlaTime)/1e9)), 1e6)
+}
+
+// running is how long the txn is expected to run, at quantile q.
+func (d *Dispatcher) running(t *Txn, q float64) int64 {
+	if t.Hint > 0 {
+		return int64(float64(t.Hint) * d.runs[t.Scheme.Index].at(q, 1.5))
+	}
+	return max(int64(1e9*d.runs[t.Scheme.Index].at(q, float64(t.Scheme.SlaTime)/1e9)), 1e6)
+}
+
+// place posts the txn or lets it wait at the node.
+func (d *Dispatcher) place(t *Txn) {
+	if t.Over || d.live(t) > 0 {
+		return
+	}
+	if len(t.Postings) >= d.terms.MostPostings || d.anchored(t) && t.Scheme.Effect == OnceOnly {
+		d.finish(t)
+		return
+	}
+	if e := d.draw(t); e != nil {
+		d.post(t, e)
+		return
+	}
+	if d.anchored(t) && d.spanOver(t) {
+		d.finish(t)
+	} else if !t.queued {
+		t.queued = true
+		d.queue = append(d.queue, t)
+	}
+}
+
+// anchor is the first posting that may have run or still may.
+func anchor(t *Txn) *Posting {
+	for _, p := range t.Postings {
+		if !p.unrun {
+			return p
+		}
+	}
+	return nil
+}
+
+func (d *Dispatcher) anchored(t *Txn) bool { return anchor(t) != nil }
+
+func (d *Dispatcher) spanOver(t *Txn) bool {
+	return t.Scheme.Effect == Referenced && d.now-anchor(t).sent >= t.Scheme.Memory-d.terms.Tick
+}
+
+func (d *Dispatcher) live(t *Txn) (n int) {
+	for _, p := range t.Postings {
+		if p.Open && !p.withdrawn {
+			n++
+		}
+	}
+	return n
+}
+
+// allowed says whether the rules let the txn go to the executor now.
+func (d *Dispatcher) allowed(t *Txn, e *Executor) bool {
+	// Danger: a drained or gone executor that still gets work; the list's word counts at once.
+	if e.State != Up || t.Scheme.Kind >= 0 && t.Scheme.Kind != e.kind {
+		return false
+	}
+	for _, p := range t.Postings {
+		if p.Open && (p.Executor == e || !d.terms.MayDuplicate) {
+			return false
+		}
+	}
+	if a := anchor(t); a != nil {
+		// Danger: an effect twice. Only the group that holds the mark drops the repeat, and not for ever.
+		switch t.Scheme.Effect {
+		case OnceOnly:
+			return false
+		case Referenced:
+			if d.spanOver(t) || t.Scheme.Reach == ReachZone && e.zone != a.Executor.zone ||
+				t.Scheme.Reach == ReachCell && e.cell != a.Executor.cell {
+				return false
+			}
+		}
+	}
+	return d.warmEnough(t, e)
+}
+
+// warmEnough keeps this node's part of a cold executor's budget.
+// Danger: a cold executor pushed over by all nodes together; each counts everything it sends, refused or not.
+func (d *Dispatcher) warmEnough(t *Txn, e *Executor) bool {
+	age := d.now - e.since
+	if e.since == 0 || age >= d.terms.Cold {
+		return true
+	}
+	sum := float64(d.work(t)) * max(t.Slots, 1)
+	for _, c := range e.sends {
+		if d.now-c.at <= d.terms.Fall {
+			sum += c.work
+		}
+	}
+	return sum <= safety*d.terms.FallMultiple*d.warmth(e)*d.sizes[e.kind]*
+		float64(d.terms.Fall)/float64(max(d.terms.Nodes, 1))
+}
+
+// warmth is the share of its capacity that an executor has at least.
+func (d *Dispatcher) warmth(e *Executor) float64 {
+	age := float64(d.now - e.since)
+	if e.since == 0 || age >= float64(d.terms.Cold) {
+		return 1
+	}
+	return d.terms.ColdShare + (1-d.terms.ColdShare)*max(age, 0)/float64(d.terms.Cold)
+}
+
+// health is H, drifted back towards 1 up to now.
+func (d *Dispatcher) health(e *Executor) float64 {
+	return 1 - (1-e.h)*math.Exp(-float64(d.now-e.hAt)/recovery)
+}
+
+// weight is the design's: mean score over the top score, times H; a cold executor counts by its age.
+func (d *Dispatcher) weight(e *Executor) float64 {
+	score := unscored
+	if e.pooled > 0 {
+		score = float64(e.sum) / float64(e.pooled) / topScore
+	}
+	return max(score, 0.01) * d.health(e) * d.warmth(e)
+}
+
+// waits says whether a posting has been waiting at the executor for longer than a start takes.
+func (d *Dispatcher) waits(e *Executor) bool {
+	for _, p := range e.open {
+		if p.started == 0 && d.now-p.sent > d.patience() {
+			return d.terms.TellsStart
+		}
+	}
+	return false
+}
+
+// patience is how long the note of a start is waited for.
+func (d *Dispatcher) patience() int64 {
+	return 2*d.terms.Tick + int64(2e9*d.begin.at(0.5, 0.005))
+}
+
+// draw picks an executor: home zone before others where crossing has a price, crowded ones redrawn, then any
+// that has room. Nil: none has room now.
+func (d *Dispatcher) draw(t *Txn) *Executor {
+	var fit []*Executor
+	var weights []float64
+	sick := 0
+	for _, e := range d.fleet {
+		if d.allowed(t, e) {
+			if d.health(e) < leastH {
+				sick++
+			} else if (e.busy == 0 || e.busy+t.Slots <= e.limit) && !d.waits(e) {
+				fit, weights = append(fit, e), append(weights, d.weight(e))
+			}
+		}
+	}
+	if len(fit) == 0 && sick > 0 && sick == len(d.fleet) {
+		for _, e := range d.fleet {
+			if d.allowed(t, e) && e.busy+t.Slots <= e.limit {
+				fit, weights = append(fit, e), append(weights, d.weight(e))
+			}
+		}
+	}
+	for step := 0; step < 3; step++ {
+		home, calm := step == 0 && d.terms.CrossPrice > 0, step < 2
+		var busy, total, sum float64
+		n := 0.0
+		for i, e := range fit {
+			if !home || e.zone == d.terms.Zone {
+				busy, total, n = busy+e.busy, total+weights[i], n+1
+			}
+		}
+		ok := func(i int) bool {
+			e := fit[i]
+			return (!home || e.zone == d.terms.Zone) &&
+				(!calm || e.busy == 0 || e.busy < margin+busy*weights[i]/total)
+		}
+		for i := range fit {
+			if ok(i) {
+				sum += weights[i]
+			}
+		}
+		pick := d.chance.unit() * sum
+		for i, e := range fit {
+			if ok(i) {
+				if pick -= weights[i]; pick < 0 {
+					return e
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// post sends the txn to the executor and leaves behind what its outcome leads to.
+func (d *Dispatcher) post(t *Txn, e *Executor) {
+	p := &Posting{Txn: t, Executor: e, Number: len(t.Postings), Open: true, sent: d.now}
+	t.Postings = append(t.Postings, p)
+	e.open = append(e.open, p)
+	e.busy += t.Slots
+	if e.since > 0 && d.now-e.since < d.terms.Cold {
+		live := e.sends[:0]
+		for _, c := range e.sends {
+			if d.now-c.at <= d.terms.Fall {
+				live = append(live, c)
+			}
+		}
+		e.sends = append(live, charge{d.now, float64(d.work(t)) * max(t.Slots, 1)})
+	}
+	p.then = func(o Outcome, took int64) { d.after(p, o) }
+	d.door.Post(p)
+	d.watch(p)
+}
+
+// watch looks after a posting: first for its start, then for its end.
+func (d *Dispatcher) watch(p *Posting) {
+	wait := d.patience()
+	if p.started > 0 || !d.terms.TellsStart {
+		wait = int64(overrun * float64(d.running(p.Txn, highEnd)))
+		if d.terms.Progress > 0 {
+			wait = min(wait, int64(missing*float64(d.terms.Progress)))
+		}
+	}
+	d.door.Alarm(wait+d.terms.Tick, func() { d.overdue(p, p.started > 0) })
+}
+
+// overdue decides what becomes of a posting that has not started, or not ended, in the time it was given.
+func (d *Dispatcher) overdue(p *Posting, started bool) {
+	t, e := p.Txn, p.Executor
+	if !p.Open || t.Over || started != (p.started > 0) {
+		return
+	}
+	age, run := d.now-max(p.sent, p.started), d.running(t, highEnd)
+	switch {
+	case p.started == 0 && d.terms.TellsStart:
+		if age < 2*d.patience()+2*d.terms.Tick {
+			e.limit = max(cut*min(e.limit, e.busy), 1)
+		}
+		if age > 2*run {
+			d.blame(p)
+		}
+	case d.terms.Progress > 0 && p.started > 0 && d.now-max(p.told, p.started) > int64(missing*float64(d.terms.Progress)):
+		d.blame(p)
+	case p.share > 0 && float64(age)*(1-p.share)/p.share < float64(run):
+		d.door.Alarm(run, func() { d.overdue(p, started) })
+		return
+	case age > int64(overrun*float64(run)):
+		d.blame(p)
+	default:
+		d.door.Alarm(run/2+d.terms.Tick, func() { d.overdue(p, started) })
+		return
+	}
+	if d.live(t) == 1 && len(t.Postings) < d.terms.MostPostings {
+		if other := d.draw(t); other != nil {
+			d.post(t, other)
+			return
+		}
+	}
+	d.door.Alarm(max(age/2, d.patience()), func() { d.overdue(p, started) })
+}
+
+// blame counts a posting as lost at its executor, once.
+func (d *Dispatcher) blame(p *Posting) {
+	if !p.blamed {
+		p.blamed = true
+		p.Executor.h, p.Executor.hAt = d.health(p.Executor)*penalty, d.now
+		d.rank(p, 0, true)
+	}
+}
+
+// rank scores a job against the last two of its family at other executors.
+func (d *Dispatcher) rank(p *Posting, time float64, lost bool) {
+	key := family{p.Txn.Scheme, p.Txn.Slots}
+	marks := d.recent[key]
+	place, others, lostToo := 0, 0, 0
+	kept := make([]last, 0, 4)
+	for i := len(marks) - 1; i >= 0 && len(kept) < 3; i-- {
+		if m := marks[i]; m.at != p.Executor {
+			kept = append(kept, m)
+			if others < 2 {
+				others++
+				if m.lost {
+					lostToo++
+				} else if m.time < time {
+					place++
+				}
+			}
+		}
+	}
+	for i, j := 0, len(kept)-1; i < j; i, j = i+1, j-1 {
+		kept[i], kept[j] = kept[j], kept[i]
+	}
+	d.recent[key] = append(kept, last{p.Executor, time, lost})
+	if others < 2 || lost && lostToo == 2 {
+		return
+	}
+	score := places[place]
+	if lost {
+		score = 0
+	}
+	e := p.Executor
+	if e.pooled < poolSize {
+		e.pooled++
+	} else {
+		e.sum -= int(e.pool[e.next])
+	}
+	e.pool[e.next], e.next, e.sum = score, (e.next+1)%poolSize, e.sum+int(score)
+}
+
+// Ended takes the outcome of a posting; over says that the txn has ended by it or earlier.
+func (d *Dispatcher) Ended(p *Posting, o Outcome, took int64, over bool, load Load) {
+	t, e := p.Txn, p.Executor
+	p.Open = false
+	e.busy -= t.Slots
+	for i, q := range e.open {
+		if q == p {
+			e.open = append(e.open[:i], e.open[i+1:]...)
+			break
+		}
+	}
+	d.report(e, load)
+	p.unrun = o == Full || o == Undialed || o == Unsent
+	switch o {
+	case Settled:
+		if !p.blamed {
+			e.h, e.hAt = min(d.health(e)+reward, 1), d.now
+			d.rank(p, float64(took)/float64(max(t.Hint, 1)), false)
+		}
+		ran := float64(took)
+		if p.started > 0 {
+			ran = float64(d.now - p.started)
+		}
+		if t.Hint > 0 {
+			d.runs[t.Scheme.Index].add(ran / float64(t.Hint))
+		} else {
+			d.runs[t.Scheme.Index].add(ran / 1e9)
+		}
+	case Erred, TimedOut, Undialed, Broken:
+		if !p.withdrawn {
+			d.blame(p)
+		}
+	case Full:
+		e.limit = max(cut*min(e.limit, e.busy+t.Slots), 1)
+	}
+	if over && !t.Over {
+		d.close(t)
+	}
+	p.then(o, took)
+}
+
+// after goes on with a txn when one of its postings has ended.
+func (d *Dispatcher) after(p *Posting, o Outcome) {
+	if t := p.Txn; !t.Over {
+		d.place(t)
+	}
+}
+
+// close stops all that is still out for an ended txn.
+func (d *Dispatcher) close(t *Txn) {
+	t.Over = true
+	for _, p := range t.Postings {
+		d.withdraw(p)
+	}
+}
+
+func (d *Dispatcher) withdraw(p *Posting) {
+	if p.Open && !p.withdrawn && d.terms.MayCancel {
+		p.withdrawn = true
+		d.door.Withdraw(p)
+	}
+}
+
+// finish gives the final answer that the rules allow.
+func (d *Dispatcher) finish(t *Txn) {
+	if t.Over {
+		return
+	}
+	d.close(t)
+	// Danger: a decline tells the client that trying again is harmless; where it might not be, reverse.
+	if t.Scheme.Effect == Repeatable || !d.anchored(t) || t.Scheme.Effect == Referenced && t.Scheme.Reach == ReachAll {
+		back := int64(0)
+		if d.terms.MayAdvise {
+			back = d.terms.MaxReturn
+		}
+		d.door.Decline(t, back)
+	} else {
+		d.door.Reverse(t)
+	}
+}
+
+// Left takes the news that the client has gone.
+func (d *Dispatcher) Left(t *Txn) { d.close(t) }
+
+// Started takes the note that a posting's job runs.
+func (d *Dispatcher) Started(p *Posting) {
+	if !p.Open || p.started > 0 {
+		return
+	}
+	p.started = d.now
+	t, e := p.Txn, p.Executor
+	d.begin.add(float64(d.now-p.sent) / 1e9)
+	atWork := 0.0
+	for _, q := range e.open {
+		if q.started > 0 {
+			atWork += q.Txn.Slots
+		}
+	}
+	if e.kind < len(d.sizes) {
+		d.sizes[e.kind] = max(d.sizes[e.kind], atWork)
+	}
+	if d.now-p.sent <= d.patience() && e.busy+1 >= e.limit {
+		e.limit++
+	}
+	// Tied copies: the first to start is kept, the others are still waiting and cost nothing to take back.
+	for _, q := range t.Postings {
+		if q != p && q.started == 0 {
+			d.withdraw(q)
+		}
+	}
+	d.watch(p)
+}
+
+// Progress takes the note of the share done.
+func (d *Dispatcher) Progress(p *Posting, share float64) { p.share, p.told = share, d.now }
+
+// Probed takes the result of a probe.
+func (d *Dispatcher) Probed(e *Executor, o Outcome, took int64, load Load) { d.report(e, load) }
+
+func (d *Dispatcher) report(e *Executor, load Load) {
+	if load.Free >= 0 {
+		e.free, e.freeAt = load.Free, d.now
+	}
+}
+
+// pump places waiting txns, the worthiest first, and gives up those that can no longer be on time.
+func (d *Dispatcher) pump() {
+	if len(d.queue) == 0 {
+		return
+	}
+	waiting := d.queue
+	d.queue = nil
+	for len(waiting) > 0 {
+		best := 0
+		for i, t := range waiting {
+			if d.earns(t) > d.earns(waiting[best]) {
+				best = i
+			}
+		}
+		t := waiting[best]
+		waiting = append(waiting[:best], waiting[best+1:]...)
+		t.queued = false
+		if t.Over {
+			continue
+		}
+		if d.earns(t) <= 0 {
+			d.finish(t)
+			continue
+		}
+		d.place(t)
+	}
+	if len(d.queue) > 0 && !d.pumped {
+		d.pumped = true
+		d.door.Alarm(2*d.terms.Tick, func() { d.pumped = false })
+	}
+}
+
+// earns is the billing value a slot and second that a waiting txn can still bring; 0: give it up now.
+func (d *Dispatcher) earns(t *Txn) float64 {
+	end := d.now + d.running(t, 0.5)
+	if end <= t.aim {
+		return t.worth
+	}
+	if end >= t.Expiry || d.now-t.arrived > 2*(t.aim-t.arrived) {
+		return 0
+	}
+	return t.worth * t.Scheme.LateValue
+}
--- /dev/null
+++ b/dispatch/types.go
@@ -0,0 +1,185 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+// Effect says what a repeat of a txn does.
+type Effect int
+
+const (
+	Repeatable Effect = iota
+	Referenced
+	OnceOnly
+)
+
+// Reach is the group of executors that drops repeats of a referenced txn.
+type Reach int
+
+const (
+	ReachAll Reach = iota
+	ReachZone
+	ReachCell
+)
+
+// Scheme holds what the terms say of one scheme. Times are nanoseconds, here as everywhere.
+type Scheme struct {
+	Index     int
+	SlaTime   int64
+	Stretch   float64 // the SLA time grows by this multiple of the txn's own work
+	Value     float64 // billing value
+	LateValue float64 // share of it that a late answer earns
+	Effect    Effect
+	Reach     Reach
+	Memory    int64 // how long a group remembers a referenced txn
+	Kind      int   // the one kind of machine that runs it, or -1
+	Priority  float64
+}
+
+// Tenant is one customer with its share of the service.
+type Tenant struct {
+	Share float64
+	Quota float64 // txns a second over all nodes; 0: not told
+}
+
+// Terms are the settings handed over at start, decoded once.
+type Terms struct {
+	Zone         int // of this node
+	Nodes        int
+	Tick         int64
+	Schemes      []*Scheme
+	Tenants      []*Tenant
+	ByWork       bool // billing value counts for each unit of work
+	OverValue    float64
+	Subscribe    bool // list changes come only when asked for
+	TellsStart   bool
+	Progress     int64 // between progress notes; 0: none
+	MostPostings int
+	MayCancel    bool
+	MayDuplicate bool
+	MayProbe     bool
+	MayAdvise    bool
+	MaxReturn    int64 // longest advice that a client follows
+	DialTimeout  int64
+	CrossPrice   float64
+	WastePrice   float64
+	DrainGrace   int64
+	ColdShare    float64
+	Cold         int64
+	Fall         int64
+	FallMultiple float64
+	AskWithin    int64
+}
+
+// State is what the list says of an executor.
+type State int
+
+const (
+	Up State = iota
+	Draining
+	Gone
+)
+
+// Member is one entry of the list: an executor and what is now said of it.
+type Member struct {
+	Executor         *Executor
+	State            State
+	Zone, Kind, Cell int
+	Units            float64
+	Since            int64 // its latest start; 0: long ago
+}
+
+// Load is an executor's own report; a field that was not reported is negative.
+type Load struct {
+	Util float64
+	Free float64 // slots
+}
+
+// Outcome is how a posting ended.
+type Outcome int
+
+const (
+	Settled  Outcome = iota // answered
+	Erred                   // an error, may have run
+	Full                    // turned away unseen
+	TimedOut                // may have run
+	Undialed                // no connection, never ran
+	Broken                  // connection lost, may have run
+	Revoked                 // withdrawn, may have run
+	Unsent                  // never left
+)
+
+// Door is how the module acts on the world. Tag fields are the door's own names; the module never reads them.
+type Door interface {
+	Post(p *Posting)
+	Withdraw(p *Posting)
+	Decline(t *Txn, returnIn int64)
+	Reverse(t *Txn)
+	Alarm(after int64, then func())
+	Probe(e *Executor)
+	Watch(on bool)
+	Log(text string)
+}
+
+// Txn is one job taken from a client, owed exactly one final answer.
+type Txn struct {
+	Tag      string
+	Scheme   *Scheme
+	Tenant   int
+	Slots    float64
+	Memory   float64
+	Hint     int64 // expected work on a standard core; 0: not told
+	Expiry   int64 // clock time
+	Repeat   bool  // the client marked it as its own retry
+	Postings []*Posting
+	Over     bool // the final answer is given, or the client has left
+
+	arrived, aim int64
+	worth        float64
+	queued       bool
+}
+
+// Posting is one sending of a txn to an executor.
+type Posting struct {
+	Txn      *Txn
+	Executor *Executor
+	Number   int
+	Limit    int64 // time-out; 0: until the client gives up
+	Open     bool  // no outcome yet
+
+	sent, started, told int64
+	share               float64 // done, as last told
+	cold                bool
+	blamed, withdrawn   bool
+	unrun               bool // proved not to have run
+	then                func(Outcome, int64)
+}
+
+// Executor is a worker that runs jobs.
+type Executor struct {
+	Tag   string
+	State State
+
+	zone, kind, cell int
+	units            float64
+	since            int64
+	known            bool
+
+	pool        [poolSize]uint8
+	pooled, sum int
+	next        int
+	h           float64
+	hAt         int64
+
+	open     []*Posting
+	busy     float64 // slots of open postings
+	limit    float64
+	waitedAt int64 // last time a posting was seen waiting there
+	free     float64
+	freeAt   int64
+	pace     spread // running time over what the scheme would have taken
+	sends    []charge
+}
+
+type charge struct {
+	at   int64
+	work float64
+}
--- /dev/null
+++ b/internal/simwire/simwire.go
@@ -0,0 +1,377 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package simwire speaks the bench's text wire for any number of decision modules. It owns ids, the tables from
+// ids to objects, and alarm tokens; it decides nothing.
+package simwire
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"runtime/debug"
+	"strconv"
+	"strings"
+
+	"fernrail/dispatch"
+)
+
+// Serve answers batches until the input ends. A line that cannot be read is an error that names its number.
+func Serve(in io.Reader, out io.Writer) error {
+	s := &session{in: bufio.NewReaderSize(in, 1<<20), out: bufio.NewWriterSize(out, 1<<16), nodes: map[string]*node{}}
+	for {
+		text, err := s.in.ReadString('\n')
+		if err != nil && text == "" {
+			if err == io.EOF && s.inRound {
+				return fmt.Errorf("line %d: input ends within a round", s.number)
+			}
+			if err == io.EOF {
+				return nil
+			}
+			return err
+		}
+		s.number++
+		if text = strings.TrimRight(text, "\r\n"); text == "" {
+			continue
+		}
+		if err := s.line(text); err != nil {
+			return fmt.Errorf("line %d: %w", s.number, err)
+		}
+	}
+}
+
+type session struct {
+	in      *bufio.Reader
+	out     *bufio.Writer
+	number  int
+	inRound bool
+	now     int64
+	batch   string
+	nodes   map[string]*node
+	current *node
+	touched []*node
+	spoke   *node // whose actions are being written
+	list    *listing
+}
+
+// listing gathers the entries of one UPDATE.
+type listing struct {
+	left    int
+	mode    string
+	members []dispatch.Member
+}
+
+// node is one instance with its tables. It is the module's Door.
+type node struct {
+	name      string
+	session   *session
+	module    *dispatch.Dispatcher // nil: not started, killed or crashed
+	terms     *dispatch.Terms
+	executors map[string]*dispatch.Executor
+	txns      map[string]*dispatch.Txn
+	alarms    map[int64]func()
+	token     int64
+	touched   bool
+	dead      bool
+}
+
+func (s *session) line(text string) error {
+	name, rest, _ := strings.Cut(text, "\t")
+	f := fields{rest: rest, message: name}
+	if s.list != nil && name != "ITEM" {
+		return fmt.Errorf("%s where %d more list entries are due", name, s.list.left)
+	}
+	switch name {
+	case "ROUND":
+		if s.inRound {
+			return fmt.Errorf("ROUND within a round")
+		}
+		s.inRound, s.current, s.now, s.batch = true, nil, f.whole("Now"), f.text("batch")
+		return f.err
+	case "COMMIT":
+		if !s.inRound {
+			return fmt.Errorf("COMMIT outside a round")
+		}
+		return s.commit()
+	case "ON":
+		who := f.text("Who")
+		if f.err != nil || !s.inRound {
+			return f.or("ON outside a round")
+		}
+		n := s.nodes[who]
+		if n == nil {
+			n = &node{name: who, session: s}
+			s.nodes[who] = n
+		}
+		if s.current = n; !n.touched {
+			n.touched = true
+			s.touched = append(s.touched, n)
+		}
+		return nil
+	}
+	if s.current == nil || !s.inRound {
+		return fmt.Errorf("%s with no instance selected", name)
+	}
+	n := s.current
+	if n.dead {
+		return nil
+	}
+	event, known := events[name]
+	if !known {
+		return fmt.Errorf("unknown message %q", name)
+	}
+	if n.module == nil && name != "NEW_INSTANCE" {
+		return fmt.Errorf("%s for %s, which is not running", name, n.name)
+	}
+	n.guard(func() { event(n, &f) })
+	return f.err
+}
+
+// guard runs a step of the module; a panic there is reported for this instance alone.
+func (n *node) guard(step func()) {
+	defer func() {
+		if r := recover(); r != nil {
+			n.dead = true
+			trace := strings.NewReplacer("\n", " | ", "\t", " ").Replace(string(debug.Stack()))
+			n.say("CRASH", "Text", fmt.Sprintf("%v | %s", r, trace))
+		}
+	}()
+	if n.module != nil {
+		n.module.At(n.session.now)
+	}
+	step()
+}
+
+func (s *session) commit() error {
+	for _, n := range s.touched {
+		if n.touched = false; n.module != nil && !n.dead {
+			n.guard(n.module.Settle)
+		}
+	}
+	s.touched, s.spoke, s.inRound = s.touched[:0], nil, false
+	s.out.WriteString("YIELD\tbatch=" + s.batch + "\n")
+	return s.out.Flush()
+}
+
+// events hands each message's fields to the module. (NEW_INSTANCE and UPDATE are longer and stand below.)
+var events map[string]func(n *node, f *fields)
+
+func init() {
+	events = map[string]func(n *node, f *fields){
+		"NEW_INSTANCE": (*node).start,
+		"UPDATE":       (*node).update,
+		"ITEM":         (*node).item,
+		"ORDER":        (*node).order,
+		"REPORT_BACK":  (*node).reportBack,
+		"HINT_UPDATE":  (*node).note,
+		"KILL": func(n *node, _ *fields) {
+			n.module, n.executors, n.txns, n.alarms = nil, nil, nil, nil
+		},
+		"ABANDONED": func(n *node, f *fields) {
+			if t := n.txns[f.text("Job")]; t != nil && f.err == nil {
+				n.module.Left(t)
+				n.tidy(t)
+			}
+		},
+		"WAKE": func(n *node, f *fields) {
+			token := f.whole("Cookie")
+			if then := n.alarms[token]; then != nil {
+				delete(n.alarms, token)
+				then()
+			}
+		},
+		"PROBED": func(n *node, f *fields) {
+			o, took, load := f.outcome(), f.whole("TimeTaken"), f.load()
+			if e := n.executors[f.text("Executor")]; e != nil && f.err == nil {
+				n.module.Probed(e, o, took, load)
+			}
+		},
+		// The module sends no streams yet and tells peers nothing.
+		"ACK_FIRST": func(n *node, f *fields) {},
+		"WHISPER":   func(n *node, f *fields) {},
+	}
+}
+
+func (n *node) start(f *fields) {
+	seed := f.whole("InitSeed")
+	terms := decode(f)
+	if f.err != nil {
+		return
+	}
+	n.executors, n.txns, n.alarms = map[string]*dispatch.Executor{}, map[string]*dispatch.Txn{}, map[int64]func(){}
+	n.terms = terms
+	n.module = dispatch.New(terms, uint64(seed), n, n.session.now)
+}
+
+func (n *node) update(f *fields) {
+	mode := f.text("Mode")
+	if f.err != nil {
+		return
+	}
+	switch mode {
+	case "broken":
+		n.module.ListFailed()
+	case "patch", "whole", "stale_copy":
+		l := &listing{left: int(f.whole("MembersList")), mode: mode}
+		if l.left > 0 {
+			n.session.list = l
+		} else {
+			n.listed(l)
+		}
+	default:
+		f.fail("unknown list mode %q", mode)
+	}
+}
+
+func (n *node) item(f *fields) {
+	l := n.session.list
+	if l == nil {
+		f.fail("ITEM outside a list")
+		return
+	}
+	tag, state := f.text("Executor"), f.text("Lifecycle")
+	e := n.executors[tag]
+	if e == nil {
+		e = &dispatch.Executor{Tag: tag}
+		n.executors[tag] = e
+	}
+	m := dispatch.Member{Executor: e, Zone: int(f.wholeOr("Zone", 0)), Kind: int(f.wholeOr("ClassOfHost", 0)),
+		Cell: int(f.wholeOr("UnitGroup", 0)), Units: f.realOr("Units", 1), Since: f.wholeOr("OnlineSince", 0)}
+	switch state {
+	case "up":
+	case "draining":
+		m.State = dispatch.Draining
+	case "removed":
+		m.State = dispatch.Gone
+	default:
+		f.fail("unknown state %q", state)
+	}
+	l.members = append(l.members, m)
+	if l.left--; l.left == 0 && f.err == nil {
+		n.session.list = nil
+		n.listed(l)
+	}
+}
+
+func (n *node) listed(l *listing) {
+	n.module.List(l.mode != "patch", l.members)
+	for tag, e := range n.executors {
+		if e.State == dispatch.Gone {
+			delete(n.executors, tag)
+		}
+	}
+}
+
+func (n *node) order(f *fields) {
+	tag, scheme := f.text("Job"), int(f.whole("Grade"))
+	t := &dispatch.Txn{Tag: tag, Tenant: int(f.wholeOr("Tenant", 0)), Slots: f.realOr("Slots", 1),
+		Memory: f.realOr("Mem", 0), Hint: f.wholeOr("Predicted", 0), Expiry: f.whole("GiveUpAt"),
+		Repeat: f.wholeOr("IsRetry", 0) != 0}
+	if f.err == nil && (scheme < 0 || scheme >= len(n.terms.Schemes)) {
+		f.fail("no scheme %d in the settings", scheme)
+	}
+	if f.err != nil {
+		return
+	}
+	t.Scheme = n.terms.Schemes[scheme]
+	n.txns[tag] = t
+	n.module.Arrive(t)
+	n.tidy(t)
+}
+
+func (n *node) posting(f *fields) *dispatch.Posting {
+	job, trial := f.text("Job"), f.whole("Trial")
+	if t := n.txns[job]; t != nil && f.err == nil && trial >= 0 && trial < int64(len(t.Postings)) {
+		return t.Postings[trial]
+	}
+	return nil
+}
+
+func (n *node) reportBack(f *fields) {
+	p, o, took, over, load := n.posting(f), f.outcome(), f.wholeOr("TimeTaken", 0), f.wholeOr("Ended", 0) != 0, f.load()
+	if p != nil && p.Open && f.err == nil {
+		n.module.Ended(p, o, took, over, load)
+		n.tidy(p.Txn)
+	}
+}
+
+func (n *node) note(f *fields) {
+	p, topic, level := n.posting(f), f.whole("Topic"), f.realOr("Level", 0)
+	if p == nil || !p.Open || f.err != nil {
+		return
+	}
+	switch topic {
+	case 1:
+		n.module.Started(p)
+	case 2:
+		n.module.Progress(p, level)
+	}
+}
+
+// tidy drops a txn once it is answered and nothing is out for it.
+func (n *node) tidy(t *dispatch.Txn) {
+	if !t.Over {
+		return
+	}
+	for _, p := range t.Postings {
+		if p.Open {
+			return
+		}
+	}
+	delete(n.txns, t.Tag)
+}
+
+// say writes one action; parts are names and values in turn.
+func (n *node) say(verb string, parts ...string) {
+	w := n.session.out
+	if n.session.spoke != n {
+		n.session.spoke = n
+		w.WriteString("AT\tWho=" + n.name + "\n")
+	}
+	w.WriteString(verb)
+	for i := 0; i < len(parts); i += 2 {
+		w.WriteByte('\t')
+		w.WriteString(parts[i])
+		w.WriteByte('=')
+		w.WriteString(parts[i+1])
+	}
+	w.WriteByte('\n')
+}
+
+func number(v int64) string { return strconv.FormatInt(v, 10) }
+
+// Post implements dispatch.Door, as do the methods after it.
+func (n *node) Post(p *dispatch.Posting) {
+	n.say("TRY", "Job", p.Txn.Tag, "Executor", p.Executor.Tag, "Limit", number(p.Limit))
+}
+
+func (n *node) Withdraw(p *dispatch.Posting) {
+	n.say("WITHDRAW", "Job", p.Txn.Tag, "Trial", number(int64(p.Number)))
+}
+
+func (n *node) Decline(t *dispatch.Txn, returnIn int64) {
+	n.say("NOT_NOW", "Job", t.Tag, "RetryIn", number(returnIn))
+	n.tidy(t)
+}
+
+func (n *node) Reverse(t *dispatch.Txn) {
+	n.say("ABORT", "Job", t.Tag)
+	n.tidy(t)
+}
+
+func (n *node) Alarm(after int64, then func()) {
+	n.token++
+	n.alarms[n.token] = then
+	n.say("SET_ALARM", "Cookie", number(n.token), "After", number(max(after, 0)))
+}
+
+func (n *node) Probe(e *dispatch.Executor) { n.say("SOUND_OUT", "Executor", e.Tag) }
+
+func (n *node) Watch(on bool) {
+	enable := "0"
+	if on {
+		enable = "1"
+	}
+	n.say("WATCH", "Enable", enable)
+}
+
+func (n *node) Log(text string) { n.say("LOG", "Text", text) }
