--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -94,7 +94,7 @@
 	queue  []*Txn
 	recent map[family][]last
 	runs   []spread  // by scheme: running time over hint, or in seconds where there is no hint
-	begin  spread    // seconds from sending to the note of the start
+	prompt int64     // least time seen from sending to the note of the start; 0: none seen
 	sizes  []float64 // by kind: most slots seen at work in one executor
 	pumped bool      // an alarm to look at the queue is out
 	asked  int64     // wait before the next call for the list
@@ -310,8 +310,9 @@
 }
 
 // patience is how long the note of a start is waited for.
+// Danger: measured from common delays it would grow with every jam, so that no limit ever fell.
 func (d *Dispatcher) patience() int64 {
-	return 2*d.terms.Tick + int64(2e9*d.begin.at(0.5, 0.005))
+	return 4 * (d.terms.Tick + d.prompt)
 }
 
 // draw picks an executor: home zone before others where crossing has a price, crowded ones redrawn, then any
@@ -573,7 +574,9 @@
 	}
 	p.started = d.now
 	t, e := p.Txn, p.Executor
-	d.begin.add(float64(d.now-p.sent) / 1e9)
+	if d.prompt == 0 || d.now-p.sent < d.prompt {
+		d.prompt = d.now - p.sent
+	}
 	atWork := 0.0
 	for _, q := range e.open {
 		if q.started > 0 {
