--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -24,6 +24,7 @@
 	highEnd   = 0.9  // quantile taken as high end; the histograms are too small to know more
 	missing   = 1.5  // progress periods without a note that mean standing still; one late note is no proof
 	safety    = 0.7  // part of the cold budget that is used; speeds and hints are guesses
+	longest   = 2e9  // ns; bound of the pause after refusals in a row; a slow list's delay
 	halveAt   = 64   // entries at which a histogram is halved; some tens of seconds of a scheme's answers
 )
 
@@ -299,8 +300,11 @@
 	return max(score, 0.01) * d.health(e) * d.warmth(e)
 }
 
-// waits says whether a posting has been waiting at the executor for longer than a start takes.
+// waits says whether the executor lets a posting wait for longer than a start takes, or has just refused one.
 func (d *Dispatcher) waits(e *Executor) bool {
+	if d.now < e.shutTill {
+		return true
+	}
 	for _, p := range e.open {
 		if p.started == 0 && d.now-p.sent > d.patience() {
 			return d.terms.TellsStart
@@ -516,7 +520,11 @@
 			d.blame(p)
 		}
 	case Full:
+		// Danger: an executor that turns all away at once looks idle and draws everything; each refusal in a row
+		// doubles the time it is passed over.
 		e.limit = max(cut*min(e.limit, e.busy+t.Slots), 1)
+		e.refused = min(max(2*e.refused, 2*d.patience()), longest)
+		e.shutTill = d.now + e.refused
 	}
 	if over && !t.Over {
 		d.close(t)
@@ -573,6 +581,7 @@
 		return
 	}
 	p.started = d.now
+	p.Executor.refused = 0
 	t, e := p.Txn, p.Executor
 	if d.prompt == 0 || d.now-p.sent < d.prompt {
 		d.prompt = d.now - p.sent
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -172,7 +172,8 @@
 	open     []*Posting
 	busy     float64 // slots of open postings
 	limit    float64
-	waitedAt int64 // last time a posting was seen waiting there
+	refused  int64 // pause after the latest refusal in a row
+	shutTill int64
 	free     float64
 	freeAt   int64
 	pace     spread // running time over what the scheme would have taken
