--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -416,6 +416,11 @@
 		if age < 2*d.patience()+2*d.terms.Tick {
 			e.limit = max(cut*min(e.limit, e.busy), 1)
 		}
+		// Danger: a copy of a job that would have been in time adds work to a fleet that is short of it.
+		if slack := (t.aim - run - d.now) / 2; slack > d.patience() {
+			d.door.Alarm(slack, func() { d.overdue(p, started) })
+			return
+		}
 		if age > 2*run {
 			d.blame(p)
 		}
