--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,7 +7,11 @@
 // Door (types.go), which is its only way out; alarms bring their own closure. Nothing here blocks or keeps time.
 package dispatch
 
-import "math"
+import (
+	"cmp"
+	"math"
+	"slices"
+)
 
 const (
 	poolSize  = 50   // scores; the design's pool
@@ -169,7 +173,7 @@
 	}
 	// Danger: a txn that is forgotten. This alarm answers it whatever else happens.
 	d.door.Alarm(t.Expiry-d.now-2*d.terms.Tick, func() { d.finish(t) })
-	d.place(t)
+	d.enqueue(t)
 }
 
 // work is what the txn is expected to cost on a standard core.
@@ -203,9 +207,8 @@
 	}
 	if d.anchored(t) && d.spanOver(t) {
 		d.finish(t)
-	} else if !t.queued {
-		t.queued = true
-		d.queue = append(d.queue, t)
+	} else {
+		d.enqueue(t)
 	}
 }
 
@@ -624,31 +627,30 @@
 	}
 }
 
-// pump places waiting txns, the worthiest first, and gives up those that can no longer be on time.
+// pump places waiting txns, the worthiest first, and gives up those that can no longer earn.
 func (d *Dispatcher) pump() {
 	if len(d.queue) == 0 {
 		return
 	}
 	waiting := d.queue
 	d.queue = nil
-	for len(waiting) > 0 {
-		best := 0
-		for i, t := range waiting {
-			if d.earns(t) > d.earns(waiting[best]) {
-				best = i
-			}
-		}
-		t := waiting[best]
-		waiting = append(waiting[:best], waiting[best+1:]...)
-		t.queued = false
-		if t.Over {
-			continue
-		}
-		if d.earns(t) <= 0 {
+	for _, t := range waiting {
+		t.queued, t.earns = false, d.earns(t)
+	}
+	slices.SortStableFunc(waiting, func(a, b *Txn) int { return cmp.Compare(b.earns, a.earns) })
+	stuck := map[family]bool{}
+	for _, t := range waiting {
+		fresh, key := len(t.Postings) == 0, family{t.Scheme, t.Slots}
+		switch {
+		case t.Over:
+		case t.earns <= 0:
 			d.finish(t)
-			continue
+		case fresh && stuck[key]:
+			d.enqueue(t)
+		default:
+			d.place(t)
+			stuck[key] = stuck[key] || fresh && t.queued
 		}
-		d.place(t)
 	}
 	if len(d.queue) > 0 && !d.pumped {
 		d.pumped = true
@@ -656,6 +658,13 @@
 	}
 }
 
+func (d *Dispatcher) enqueue(t *Txn) {
+	if !t.queued {
+		t.queued = true
+		d.queue = append(d.queue, t)
+	}
+}
+
 // earns is the billing value a slot and second that a waiting txn can still bring; 0: give it up now.
 func (d *Dispatcher) earns(t *Txn) float64 {
 	end := d.now + d.running(t, 0.5)
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -133,7 +133,7 @@
 	Over     bool // the final answer is given, or the client has left
 
 	arrived, aim int64
-	worth        float64
+	worth, earns float64
 	queued       bool
 }
 
