--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -29,7 +29,10 @@
 	missing   = 1.5  // progress periods without a note that mean standing still; one late note is no proof
 	safety    = 0.7  // part of the cold budget that is used; speeds and hints are guesses
 	longest   = 2e9  // ns; bound of the pause after refusals in a row; a slow list's delay
-	halveAt   = 64   // entries at which a histogram is halved; some tens of seconds of a scheme's answers
+	shareTime = 3e9  // ns; memory of tenants' arrivals; shorter than a burst, longer than chance
+	// shareSlack is what a tenant may send over the others' measure; usage differs by some tens of percent.
+	shareSlack = 1.3
+	halveAt    = 64 // entries at which a histogram is halved; some tens of seconds of a scheme's answers
 )
 
 // places are the scores by rank; the design's start.
@@ -91,24 +94,26 @@
 
 // Dispatcher is the decision module of one node.
 type Dispatcher struct {
-	terms  *Terms
-	door   Door
-	now    int64
-	chance pcg
-	fleet  []*Executor
-	queue  []*Txn
-	recent map[family][]last
-	runs   []spread  // by scheme: running time over hint, or in seconds where there is no hint
-	prompt int64     // least time seen from sending to the note of the start; 0: none seen
-	sizes  []float64 // by kind: most slots seen at work in one executor
-	pumped bool      // an alarm to look at the queue is out
-	asked  int64     // wait before the next call for the list
+	terms     *Terms
+	door      Door
+	now       int64
+	chance    pcg
+	fleet     []*Executor
+	queue     []*Txn
+	recent    map[family][]last
+	runs      []spread  // by scheme: running time over hint, or in seconds where there is no hint
+	prompt    int64     // least time seen from sending to the note of the start; 0: none seen
+	sizes     []float64 // by kind: most slots seen at work in one executor
+	counts    []float64 // by tenant: arrivals, fading
+	countedAt int64
+	pumped    bool  // an alarm to look at the queue is out
+	asked     int64 // wait before the next call for the list
 }
 
 // New starts the module of one node.
 func New(terms *Terms, seed uint64, door Door, now int64) *Dispatcher {
 	d := &Dispatcher{terms: terms, door: door, now: now, chance: pcg(seed), recent: map[family][]last{},
-		runs: make([]spread, len(terms.Schemes))}
+		runs: make([]spread, len(terms.Schemes)), counts: make([]float64, len(terms.Tenants))}
 	d.chance.unit()
 	if terms.Subscribe {
 		door.Watch(true)
@@ -165,17 +170,44 @@
 
 // Arrive takes a txn.
 func (d *Dispatcher) Arrive(t *Txn) {
-	t.arrived = d.now
+	t.arrived, t.over = d.now, d.overShare(t)
 	t.aim = min(d.now+t.Scheme.SlaTime+int64(t.Scheme.Stretch*float64(d.work(t))), t.Expiry)
 	t.worth = t.Scheme.Value / max(t.Slots, 1)
 	if !d.terms.ByWork {
 		t.worth /= float64(d.work(t))
 	}
+	if t.over {
+		t.worth *= d.terms.OverValue
+	}
 	// Danger: a txn that is forgotten. This alarm answers it whatever else happens.
 	d.door.Alarm(t.Expiry-d.now-2*d.terms.Tick, func() { d.finish(t) })
 	d.enqueue(t)
 }
 
+// overShare tells by chance whether a txn lies beyond its tenant's share, in the proportion in which the tenant's
+// arrivals here go beyond what the other tenants' arrivals say of this node's part of the service. It only orders
+// the queue, so it acts under pressure alone.
+func (d *Dispatcher) overShare(t *Txn) bool {
+	if t.Tenant < 0 || t.Tenant >= len(d.terms.Tenants) {
+		return false
+	}
+	fade := math.Exp(-float64(d.now-d.countedAt) / shareTime)
+	d.countedAt = d.now
+	var others, shares float64
+	for i, tenant := range d.terms.Tenants {
+		d.counts[i] *= fade
+		if i != t.Tenant {
+			others, shares = others+d.counts[i], shares+tenant.Share
+		}
+	}
+	d.counts[t.Tenant]++
+	if shares <= 0 {
+		return false
+	}
+	within := shareSlack * (others + 1) / shares * d.terms.Tenants[t.Tenant].Share
+	return d.chance.unit()*d.counts[t.Tenant] > within
+}
+
 // work is what the txn is expected to cost on a standard core.
 func (d *Dispatcher) work(t *Txn) int64 {
 	if t.Hint > 0 {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -134,7 +134,7 @@
 
 	arrived, aim int64
 	worth, earns float64
-	queued       bool
+	queued, over bool // over: beyond its tenant's share
 }
 
 // Posting is one sending of a txn to an executor.
