Order and give up waiting txns by their measured chance to be on time

Cause: the median run took half of the waiting txns for on time that were not; without hints a longer wait needs a longer job.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -2,9 +2,9 @@
 
 // Package dispatch decides, for one node, which executor gets which txn, and when a txn is given up.
 //
-// How to call it: New once at the start of a node, then At with the clock before each round of events, then one
-// call an event: List, Arrive, Ended, Note, Left, Probed; Settle after the last event of a round. It acts through
-// Door (types.go), which is its only way out; alarms bring their own closure. Nothing here blocks or keeps time.
+// How to call it: New once at the start of a node, At with the clock before each event, one call an event (List,
+// ListFailed, Arrive, Started, Progress, Ended, Left, an alarm's closure), Settle after the last event of a round.
+// Its only way out is Door, in types.go. Nothing here blocks or keeps time.
 package dispatch
 
 import (
@@ -28,11 +28,11 @@
 	highEnd   = 0.9  // quantile taken as high end; the histograms are too small to know more
 	missing   = 1.5  // progress periods without a note that mean standing still; one late note is no proof
 	safety    = 0.7  // part of the cold budget that is used; speeds and hints are guesses
+	hopeless  = 0.1  // expected part of the billing value under which a waiting txn is given up; a rare win
 	longest   = 2e9  // ns; bound of the pause after refusals in a row; a slow list's delay
 	shareTime = 3e9  // ns; memory of tenants' arrivals; shorter than a burst, longer than chance
-	// shareSlack is what a tenant may send over the others' measure; usage differs by some tens of percent.
-	shareSlack = 1.3
-	halveAt    = 64 // entries at which a histogram is halved; some tens of seconds of a scheme's answers
+	overMark  = 1.3  // times the others' measure that a tenant may send; usage differs by some tens of percent
+	halveAt   = 64   // entries at which a histogram is halved; some tens of seconds of a scheme's answers
 )
 
 // places are the scores by rank; the design's start.
@@ -44,12 +44,15 @@
 	n   int
 }
 
-func (s *spread) add(v float64) {
-	i := 0
-	if v > 1.0/256 {
-		i = min(int(2*math.Log2(v*256)), len(s.bin)-1)
+func bin(v float64) int {
+	if v <= 1.0/256 {
+		return 0
 	}
-	s.bin[i]++
+	return min(int(2*math.Log2(v*256)), len(spread{}.bin)-1)
+}
+
+func (s *spread) add(v float64) {
+	s.bin[bin(v)]++
 	if s.n++; s.n >= halveAt {
 		s.n = 0
 		for i := range s.bin {
@@ -59,6 +62,18 @@
 	}
 }
 
+// below is the share of entries under a value; half while nothing is known.
+func (s *spread) below(v float64) float64 {
+	if v <= 0 {
+		return 0
+	}
+	under := 0
+	for _, c := range s.bin[:bin(v)] {
+		under += int(c)
+	}
+	return (float64(under) + 0.5) / float64(s.n+1)
+}
+
 // at is the q-quantile, or the given value while nothing is known.
 func (s *spread) at(q, unknown float64) float64 {
 	left := q * float64(s.n)
@@ -137,7 +152,7 @@
 	for _, m := range members {
 		e := m.Executor
 		if !e.known || m.Since > e.since {
-			e.h, e.hAt, e.limit, e.freeAt = 1, d.now, firstRoom, 0
+			e.h, e.hAt, e.limit = 1, d.now, firstRoom
 		}
 		if !e.known {
 			e.known = true
@@ -148,16 +163,10 @@
 			d.sizes = append(d.sizes, 1)
 		}
 	}
-	kept := d.fleet[:0]
-	for _, e := range d.fleet {
-		if e.State != Gone {
-			kept = append(kept, e)
-		} else {
-			e.known = false
-		}
-	}
-	clear(d.fleet[len(kept):])
-	d.fleet = kept
+	d.fleet = slices.DeleteFunc(d.fleet, func(e *Executor) bool {
+		e.known = e.State != Gone
+		return !e.known
+	})
 	d.asked = 0
 }
 
@@ -184,9 +193,8 @@
 	d.enqueue(t)
 }
 
-// overShare tells by chance whether a txn lies beyond its tenant's share, in the proportion in which the tenant's
-// arrivals here go beyond what the other tenants' arrivals say of this node's part of the service. It only orders
-// the queue, so it acts under pressure alone.
+// overShare tells by chance whether a txn lies beyond its tenant's share: in the proportion in which the tenant's
+// arrivals here exceed what the other tenants' say of this node's traffic. It orders the queue, no more.
 func (d *Dispatcher) overShare(t *Txn) bool {
 	if t.Tenant < 0 || t.Tenant >= len(d.terms.Tenants) {
 		return false
@@ -204,7 +212,7 @@
 	if shares <= 0 {
 		return false
 	}
-	within := shareSlack * (others + 1) / shares * d.terms.Tenants[t.Tenant].Share
+	within := overMark * (others + 1) / shares * d.terms.Tenants[t.Tenant].Share
 	return d.chance.unit()*d.counts[t.Tenant] > within
 }
 
@@ -229,7 +237,7 @@
 	if t.Over || d.live(t) > 0 {
 		return
 	}
-	if len(t.Postings) >= d.terms.MostPostings || d.anchored(t) && t.Scheme.Effect == OnceOnly {
+	if len(t.Postings) >= d.terms.MostPostings || anchor(t) != nil && t.Scheme.Effect == OnceOnly {
 		d.finish(t)
 		return
 	}
@@ -237,7 +245,7 @@
 		d.post(t, e)
 		return
 	}
-	if d.anchored(t) && d.spanOver(t) {
+	if anchor(t) != nil && d.spanOver(t) {
 		d.finish(t)
 	} else {
 		d.enqueue(t)
@@ -254,8 +262,6 @@
 	return nil
 }
 
-func (d *Dispatcher) anchored(t *Txn) bool { return anchor(t) != nil }
-
 func (d *Dispatcher) spanOver(t *Txn) bool {
 	return t.Scheme.Effect == Referenced && d.now-anchor(t).sent >= t.Scheme.Memory-d.terms.Tick
 }
@@ -298,8 +304,8 @@
 // warmEnough keeps this node's part of a cold executor's budget.
 // Danger: a cold executor pushed over by all nodes together; each counts everything it sends, refused or not.
 func (d *Dispatcher) warmEnough(t *Txn, e *Executor) bool {
-	age := d.now - e.since
-	if e.since == 0 || age >= d.terms.Cold {
+	warmth := d.warmth(e)
+	if warmth == 1 {
 		return true
 	}
 	sum := float64(d.work(t)) * max(t.Slots, 1)
@@ -308,7 +314,7 @@
 			sum += c.work
 		}
 	}
-	return sum <= safety*d.terms.FallMultiple*d.warmth(e)*d.sizes[e.kind]*
+	return sum <= safety*d.terms.FallMultiple*warmth*d.sizes[e.kind]*
 		float64(d.terms.Fall)/float64(max(d.terms.Nodes, 1))
 }
 
@@ -326,13 +332,13 @@
 	return 1 - (1-e.h)*math.Exp(-float64(d.now-e.hAt)/recovery)
 }
 
-// weight is the design's: mean score over the top score, times H; a cold executor counts by its age.
+// weight is the mean score over the top score (H comes on top); a cold executor counts by its age.
 func (d *Dispatcher) weight(e *Executor) float64 {
 	score := unscored
 	if e.pooled > 0 {
 		score = float64(e.sum) / float64(e.pooled) / topScore
 	}
-	return max(score, 0.01) * d.health(e) * d.warmth(e)
+	return max(score, 0.01) * d.warmth(e)
 }
 
 // waits says whether the executor lets a posting wait for longer than a start takes, or has just refused one.
@@ -359,36 +365,28 @@
 func (d *Dispatcher) draw(t *Txn) *Executor {
 	var fit []*Executor
 	var weights []float64
-	sick := 0
-	for _, e := range d.fleet {
-		if d.allowed(t, e) {
-			if d.health(e) < leastH {
-				sick++
-			} else if (e.busy == 0 || e.busy+t.Slots <= e.limit) && !d.waits(e) {
-				fit, weights = append(fit, e), append(weights, d.weight(e))
-			}
-		}
-	}
-	if len(fit) == 0 && sick > 0 && sick == len(d.fleet) {
+	for _, least := range []float64{leastH, 0} {
 		for _, e := range d.fleet {
-			if d.allowed(t, e) && e.busy+t.Slots <= e.limit {
-				fit, weights = append(fit, e), append(weights, d.weight(e))
+			if h := d.health(e); h >= least && d.allowed(t, e) {
+				fit, weights = append(fit, e), append(weights, d.weight(e)*h)
 			}
 		}
+		if len(fit) > 0 {
+			break
+		}
 	}
 	for step := 0; step < 3; step++ {
 		home, calm := step == 0 && d.terms.CrossPrice > 0, step < 2
 		var busy, total, sum float64
-		n := 0.0
 		for i, e := range fit {
 			if !home || e.zone == d.terms.Zone {
-				busy, total, n = busy+e.busy, total+weights[i], n+1
+				busy, total = busy+e.busy, total+weights[i]
 			}
 		}
 		ok := func(i int) bool {
 			e := fit[i]
-			return (!home || e.zone == d.terms.Zone) &&
-				(!calm || e.busy == 0 || e.busy < margin+busy*weights[i]/total)
+			return (!home || e.zone == d.terms.Zone) && !d.waits(e) && (e.busy == 0 ||
+				e.busy+t.Slots <= e.limit && (!calm || e.busy < margin+busy*weights[i]/total))
 		}
 		for i := range fit {
 			if ok(i) {
@@ -413,70 +411,72 @@
 	t.Postings = append(t.Postings, p)
 	e.open = append(e.open, p)
 	e.busy += t.Slots
-	if e.since > 0 && d.now-e.since < d.terms.Cold {
-		live := e.sends[:0]
-		for _, c := range e.sends {
-			if d.now-c.at <= d.terms.Fall {
-				live = append(live, c)
-			}
-		}
-		e.sends = append(live, charge{d.now, float64(d.work(t)) * max(t.Slots, 1)})
+	if d.warmth(e) < 1 {
+		old := func(c charge) bool { return d.now-c.at > d.terms.Fall }
+		e.sends = append(slices.DeleteFunc(e.sends, old), charge{d.now, float64(d.work(t)) * max(t.Slots, 1)})
 	}
-	p.then = func(o Outcome, took int64) { d.after(p, o) }
+	p.then = func() { d.place(t) }
 	d.door.Post(p)
 	d.watch(p)
 }
 
-// watch looks after a posting: first for its start, then for its end.
+// watch sees to a posting's end once it runs, and before that, where executors tell, to its start.
 func (d *Dispatcher) watch(p *Posting) {
-	wait := d.patience()
 	if p.started > 0 || !d.terms.TellsStart {
-		wait = int64(overrun * float64(d.running(p.Txn, highEnd)))
-		if d.terms.Progress > 0 {
-			wait = min(wait, int64(missing*float64(d.terms.Progress)))
-		}
+		d.awaitEnd(p, d.terms.Tick)
+		return
 	}
-	d.door.Alarm(wait+d.terms.Tick, func() { d.overdue(p, p.started > 0) })
+	d.door.Alarm(d.patience(), func() {
+		if p.Open && p.started == 0 {
+			p.Executor.limit = max(cut*min(p.Executor.limit, p.Executor.busy), 1)
+			d.awaitStart(p)
+		}
+	})
 }
 
-// overdue decides what becomes of a posting that has not started, or not ended, in the time it was given.
-func (d *Dispatcher) overdue(p *Posting, started bool) {
-	t, e := p.Txn, p.Executor
-	if !p.Open || t.Over || started != (p.started > 0) {
+// awaitStart decides what becomes of a posting that waits at its executor.
+func (d *Dispatcher) awaitStart(p *Posting) {
+	if !p.Open || p.Txn.Over || p.started > 0 {
 		return
 	}
-	age, run := d.now-max(p.sent, p.started), d.running(t, highEnd)
-	switch {
-	case p.started == 0 && d.terms.TellsStart:
-		if age < 2*d.patience()+2*d.terms.Tick {
-			e.limit = max(cut*min(e.limit, e.busy), 1)
-		}
-		// Danger: a copy of a job that would have been in time adds work to a fleet that is short of it.
-		if slack := (t.aim - run - d.now) / 2; slack > d.patience() {
-			d.door.Alarm(slack, func() { d.overdue(p, started) })
-			return
-		}
+	age, run := d.now-p.sent, d.running(p.Txn, highEnd)
+	wait := (p.Txn.aim - run - d.now) / 2
+	// Danger: a copy of a job that would have been in time adds work to a fleet that is short of it.
+	if wait <= d.patience() {
 		if age > 2*run {
 			d.blame(p)
 		}
-	case d.terms.Progress > 0 && p.started > 0 && d.now-max(p.told, p.started) > int64(missing*float64(d.terms.Progress)):
-		d.blame(p)
-	case p.share > 0 && float64(age)*(1-p.share)/p.share < float64(run):
-		d.door.Alarm(run, func() { d.overdue(p, started) })
+		d.copy(p)
+		wait = max(age/2, d.patience())
+	}
+	d.door.Alarm(wait, func() { d.awaitStart(p) })
+}
+
+// awaitEnd decides what becomes of a posting that has run longer than a job should, or stands still.
+func (d *Dispatcher) awaitEnd(p *Posting, wait int64) {
+	if !p.Open || p.Txn.Over {
 		return
-	case age > int64(overrun*float64(run)):
+	}
+	age, run, period := d.now-max(p.sent, p.started), d.running(p.Txn, highEnd), d.terms.Progress
+	still := period > 0 && d.now-max(p.told, p.started, p.sent) > int64(missing*float64(period))
+	nearlyDone := p.share > 0 && float64(age)*(1-p.share)/p.share < float64(run)
+	if still || age > int64(overrun*float64(run)) && !nearlyDone {
 		d.blame(p)
-	default:
-		d.door.Alarm(run/2+d.terms.Tick, func() { d.overdue(p, started) })
-		return
+		d.copy(p)
+	}
+	if wait = max(run/2, wait); period > 0 {
+		wait = min(wait, period)
 	}
-	if d.live(t) == 1 && len(t.Postings) < d.terms.MostPostings {
+	d.door.Alarm(wait, func() { d.awaitEnd(p, 2*wait) })
+}
+
+// copy sends the txn of a late posting to a second executor that has room for it.
+func (d *Dispatcher) copy(p *Posting) {
+	if t := p.Txn; d.live(t) == 1 && len(t.Postings) < d.terms.MostPostings {
 		if other := d.draw(t); other != nil {
 			d.post(t, other)
-			return
 		}
 	}
-	d.door.Alarm(max(age/2, d.patience()), func() { d.overdue(p, started) })
 }
 
 // blame counts a posting as lost at its executor, once.
@@ -490,35 +490,24 @@
 
 // rank scores a job against the last two of its family at other executors.
 func (d *Dispatcher) rank(p *Posting, time float64, lost bool) {
-	key := family{p.Txn.Scheme, p.Txn.Slots}
-	marks := d.recent[key]
-	place, others, lostToo := 0, 0, 0
-	kept := make([]last, 0, 4)
-	for i := len(marks) - 1; i >= 0 && len(kept) < 3; i-- {
-		if m := marks[i]; m.at != p.Executor {
-			kept = append(kept, m)
-			if others < 2 {
-				others++
-				if m.lost {
-					lostToo++
-				} else if m.time < time {
-					place++
-				}
-			}
-		}
-	}
-	for i, j := 0, len(kept)-1; i < j; i, j = i+1, j-1 {
-		kept[i], kept[j] = kept[j], kept[i]
-	}
-	d.recent[key] = append(kept, last{p.Executor, time, lost})
-	if others < 2 || lost && lostToo == 2 {
+	e, key := p.Executor, family{p.Txn.Scheme, p.Txn.Slots}
+	marks := slices.DeleteFunc(d.recent[key], func(m last) bool { return m.at == e })
+	d.recent[key] = append(marks[max(len(marks)-2, 0):], last{e, time, lost})
+	place, lostToo := 0, 0
+	for _, m := range marks[max(len(marks)-2, 0):] {
+		if m.lost {
+			lostToo++
+		} else if m.time < time {
+			place++
+		}
+	}
+	if len(marks) < 2 || lost && lostToo == 2 {
 		return
 	}
 	score := places[place]
 	if lost {
 		score = 0
 	}
-	e := p.Executor
 	if e.pooled < poolSize {
 		e.pooled++
 	} else {
@@ -528,17 +517,11 @@
 }
 
 // Ended takes the outcome of a posting; over says that the txn has ended by it or earlier.
-func (d *Dispatcher) Ended(p *Posting, o Outcome, took int64, over bool, load Load) {
+func (d *Dispatcher) Ended(p *Posting, o Outcome, took int64, over bool) {
 	t, e := p.Txn, p.Executor
 	p.Open = false
 	e.busy -= t.Slots
-	for i, q := range e.open {
-		if q == p {
-			e.open = append(e.open[:i], e.open[i+1:]...)
-			break
-		}
-	}
-	d.report(e, load)
+	e.open = slices.DeleteFunc(e.open, func(q *Posting) bool { return q == p })
 	p.unrun = o == Full || o == Undialed || o == Unsent
 	switch o {
 	case Settled:
@@ -546,15 +529,11 @@
 			e.h, e.hAt = min(d.health(e)+reward, 1), d.now
 			d.rank(p, float64(took)/float64(max(t.Hint, 1)), false)
 		}
-		ran := float64(took)
-		if p.started > 0 {
-			ran = float64(d.now - p.started)
-		}
+		unit := 1e9
 		if t.Hint > 0 {
-			d.runs[t.Scheme.Index].add(ran / float64(t.Hint))
-		} else {
-			d.runs[t.Scheme.Index].add(ran / 1e9)
+			unit = float64(t.Hint)
 		}
+		d.runs[t.Scheme.Index].add(float64(d.now-max(p.sent, p.started)) / unit)
 	case Erred, TimedOut, Undialed, Broken:
 		if !p.withdrawn {
 			d.blame(p)
@@ -569,14 +548,7 @@
 	if over && !t.Over {
 		d.close(t)
 	}
-	p.then(o, took)
-}
-
-// after goes on with a txn when one of its postings has ended.
-func (d *Dispatcher) after(p *Posting, o Outcome) {
-	if t := p.Txn; !t.Over {
-		d.place(t)
-	}
+	p.then()
 }
 
 // close stops all that is still out for an ended txn.
@@ -601,7 +573,8 @@
 	}
 	d.close(t)
 	// Danger: a decline tells the client that trying again is harmless; where it might not be, reverse.
-	if t.Scheme.Effect == Repeatable || !d.anchored(t) || t.Scheme.Effect == Referenced && t.Scheme.Reach == ReachAll {
+	s := t.Scheme
+	if s.Effect == Repeatable || anchor(t) == nil || s.Effect == Referenced && s.Reach == ReachAll {
 		back := int64(0)
 		if d.terms.MayAdvise {
 			back = d.terms.MaxReturn
@@ -650,15 +623,6 @@
 // Progress takes the note of the share done.
 func (d *Dispatcher) Progress(p *Posting, share float64) { p.share, p.told = share, d.now }
 
-// Probed takes the result of a probe.
-func (d *Dispatcher) Probed(e *Executor, o Outcome, took int64, load Load) { d.report(e, load) }
-
-func (d *Dispatcher) report(e *Executor, load Load) {
-	if load.Free >= 0 {
-		e.free, e.freeAt = load.Free, d.now
-	}
-}
-
 // pump places waiting txns, the worthiest first, and gives up those that can no longer earn.
 func (d *Dispatcher) pump() {
 	if len(d.queue) == 0 {
@@ -697,14 +661,22 @@
 	}
 }
 
-// earns is the billing value a slot and second that a waiting txn can still bring; 0: give it up now.
+// earns is the billing value a slot and second to be expected of a waiting txn; 0: give it up now.
 func (d *Dispatcher) earns(t *Txn) float64 {
-	end := d.now + d.running(t, 0.5)
-	if end <= t.aim {
-		return t.worth
-	}
-	if end >= t.Expiry || d.now-t.arrived > 2*(t.aim-t.arrived) {
+	part := d.onTime(t)
+	part += (1 - part) * t.Scheme.LateValue
+	if part < hopeless || d.now+d.running(t, 0.5) >= t.Expiry || d.now-t.arrived > 2*(t.aim-t.arrived) {
 		return 0
 	}
-	return t.worth * t.Scheme.LateValue
+	return part * t.worth
+}
+
+// onTime is the chance that a txn started now ends within its SLA time. Without a hint it must be a long enough
+// job, whose SLA time is stretched, to make up for its wait; with one the executor must be fast enough.
+func (d *Dispatcher) onTime(t *Txn) float64 {
+	room, runs := float64(t.arrived+t.Scheme.SlaTime-d.now), &d.runs[t.Scheme.Index]
+	if t.Hint > 0 {
+		return runs.below(room/float64(t.Hint) + t.Scheme.Stretch)
+	}
+	return 1 - runs.below(-room/1e9/max(t.Scheme.Stretch-1, 0.1))
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -87,12 +87,6 @@
 	Since            int64 // its latest start; 0: long ago
 }
 
-// Load is an executor's own report; a field that was not reported is negative.
-type Load struct {
-	Util float64
-	Free float64 // slots
-}
-
 // Outcome is how a posting ended.
 type Outcome int
 
@@ -114,7 +108,6 @@
 	Decline(t *Txn, returnIn int64)
 	Reverse(t *Txn)
 	Alarm(after int64, then func())
-	Probe(e *Executor)
 	Watch(on bool)
 	Log(text string)
 }
@@ -149,8 +142,8 @@
 	share               float64 // done, as last told
 	cold                bool
 	blamed, withdrawn   bool
-	unrun               bool // proved not to have run
-	then                func(Outcome, int64)
+	unrun               bool   // proved not to have run
+	then                func() // what the outcome leads to
 }
 
 // Executor is a worker that runs jobs.
@@ -174,9 +167,6 @@
 	limit    float64
 	refused  int64 // pause after the latest refusal in a row
 	shutTill int64
-	free     float64
-	freeAt   int64
-	pace     spread // running time over what the scheme would have taken
 	sends    []charge
 }
 
--- a/internal/simwire/fields.go
+++ b/internal/simwire/fields.go
@@ -99,32 +99,6 @@
 	return o
 }
 
-// load reads a load report; values that the module does not use are skipped.
-func (f *fields) load() dispatch.Load {
-	load := dispatch.Load{Util: -1, Free: -1}
-	v, _ := f.find("ServerStats")
-	for v != "" {
-		var part string
-		part, v, _ = strings.Cut(v, ",")
-		name, figure, _ := strings.Cut(part, ":")
-		into := &load.Util
-		switch name {
-		case "util":
-		case "x0":
-			into = &load.Free
-		default:
-			continue
-		}
-		x, err := strconv.ParseFloat(figure, 64)
-		if err != nil {
-			f.fail("load report: %q is not a number", part)
-			return load
-		}
-		*into = x
-	}
-	return load
-}
-
 // decode reads the settings that the module uses; what it does not know is skipped, what is absent gets the
 // value that permits least.
 func decode(f *fields) *dispatch.Terms {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -179,13 +179,8 @@
 				then()
 			}
 		},
-		"PROBED": func(n *node, f *fields) {
-			o, took, load := f.outcome(), f.whole("TimeTaken"), f.load()
-			if e := n.executors[f.text("Executor")]; e != nil && f.err == nil {
-				n.module.Probed(e, o, took, load)
-			}
-		},
-		// The module sends no streams yet and tells peers nothing.
+		// The module uses no probes, streams or peers yet.
+		"PROBED":    func(n *node, f *fields) {},
 		"ACK_FIRST": func(n *node, f *fields) {},
 		"WHISPER":   func(n *node, f *fields) {},
 	}
@@ -287,9 +282,9 @@
 }
 
 func (n *node) reportBack(f *fields) {
-	p, o, took, over, load := n.posting(f), f.outcome(), f.wholeOr("TimeTaken", 0), f.wholeOr("Ended", 0) != 0, f.load()
+	p, o, took, over := n.posting(f), f.outcome(), f.wholeOr("TimeTaken", 0), f.wholeOr("Ended", 0) != 0
 	if p != nil && p.Open && f.err == nil {
-		n.module.Ended(p, o, took, over, load)
+		n.module.Ended(p, o, took, over)
 		n.tidy(p.Txn)
 	}
 }
@@ -364,8 +359,6 @@
 	n.say("SET_ALARM", "Cookie", number(n.token), "After", number(max(after, 0)))
 }
 
-func (n *node) Probe(e *dispatch.Executor) { n.say("SOUND_OUT", "Executor", e.Tag) }
-
 func (n *node) Watch(on bool) {
 	enable := "0"
 	if on {
