--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -28,7 +28,7 @@
 	highEnd   = 0.9  // quantile taken as high end; the histograms are too small to know more
 	missing   = 1.5  // progress periods without a note that mean standing still; one late note is no proof
 	safety    = 0.7  // part of the cold budget that is used; speeds and hints are guesses
-	hopeless  = 0.1  // expected part of the billing value under which a waiting txn is given up; a rare win
+	hopeless  = 0.5  // expected part of the billing value under which a waiting txn is given up; an even chance
 	longest   = 2e9  // ns; bound of the pause after refusals in a row; a slow list's delay
 	shareTime = 3e9  // ns; memory of tenants' arrivals; shorter than a burst, longer than chance
 	overMark  = 1.3  // times the others' measure that a tenant may send; usage differs by some tens of percent
