--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	leastH    = 0.1  // H under which an executor is left out; the design's
 	recovery  = 10e9 // ns; time constant of H on its way back to 1; the design's start
 	margin    = 1.0  // jobs over its fair part that make an executor crowded; the least that is not noise
+	leastRoom = 0.1  // slots; bound of the in-flight limit; ten pauses as long as a job between two
 	firstRoom = 4.0  // slots in flight allowed before anything is known; a small machine's worth
 	cut       = 0.7  // share of the in-flight limit kept when a posting was seen to wait; the usual mild cut
 	overrun   = 2.0  // times the high end of measured running time that make a job overdue; clear of chance
@@ -129,7 +130,6 @@
 func New(terms *Terms, seed uint64, door Door, now int64) *Dispatcher {
 	d := &Dispatcher{terms: terms, door: door, now: now, chance: pcg(seed), recent: map[family][]last{},
 		runs: make([]spread, len(terms.Schemes)), counts: make([]float64, len(terms.Tenants))}
-	d.chance.unit()
 	if terms.Subscribe {
 		door.Watch(true)
 	}
@@ -243,9 +243,7 @@
 	}
 	if e := d.draw(t); e != nil {
 		d.post(t, e)
-		return
-	}
-	if anchor(t) != nil && d.spanOver(t) {
+	} else if anchor(t) != nil && d.spanOver(t) {
 		d.finish(t)
 	} else {
 		d.enqueue(t)
@@ -342,8 +340,10 @@
 }
 
 // waits says whether the executor lets a posting wait for longer than a start takes, or has just refused one.
-func (d *Dispatcher) waits(e *Executor) bool {
-	if d.now < e.shutTill {
+func (d *Dispatcher) waits(e *Executor, run int64) bool {
+	// Danger: one posting from each of many nodes fills a small executor. A limit under one is kept by pausing.
+	pause := (1/min(e.limit, 1) - 1) * float64(run)
+	if d.now < e.shutTill || e.busy == 0 && float64(d.now-e.idleAt) < pause {
 		return true
 	}
 	for _, p := range e.open {
@@ -363,6 +363,7 @@
 // draw picks an executor: home zone before others where crossing has a price, crowded ones redrawn, then any
 // that has room. Nil: none has room now.
 func (d *Dispatcher) draw(t *Txn) *Executor {
+	run := d.running(t, 0.5)
 	var fit []*Executor
 	var weights []float64
 	for _, least := range []float64{leastH, 0} {
@@ -385,7 +386,7 @@
 		}
 		ok := func(i int) bool {
 			e := fit[i]
-			return (!home || e.zone == d.terms.Zone) && !d.waits(e) && (e.busy == 0 ||
+			return (!home || e.zone == d.terms.Zone) && !d.waits(e, run) && (e.busy == 0 ||
 				e.busy+t.Slots <= e.limit && (!calm || e.busy < margin+busy*weights[i]/total))
 		}
 		for i := range fit {
@@ -428,7 +429,7 @@
 	}
 	d.door.Alarm(d.patience(), func() {
 		if p.Open && p.started == 0 {
-			p.Executor.limit = max(cut*min(p.Executor.limit, p.Executor.busy), 1)
+			p.Executor.limit = max(cut*min(p.Executor.limit, p.Executor.busy), leastRoom)
 			d.awaitStart(p)
 		}
 	})
@@ -481,9 +482,8 @@
 
 // blame counts a posting as lost at its executor, once.
 func (d *Dispatcher) blame(p *Posting) {
-	if !p.blamed {
-		p.blamed = true
-		p.Executor.h, p.Executor.hAt = d.health(p.Executor)*penalty, d.now
+	if e := p.Executor; !p.blamed {
+		p.blamed, e.h, e.hAt = true, d.health(e)*penalty, d.now
 		d.rank(p, 0, true)
 	}
 }
@@ -519,7 +519,7 @@
 // Ended takes the outcome of a posting; over says that the txn has ended by it or earlier.
 func (d *Dispatcher) Ended(p *Posting, o Outcome, took int64, over bool) {
 	t, e := p.Txn, p.Executor
-	p.Open = false
+	p.Open, e.idleAt = false, d.now
 	e.busy -= t.Slots
 	e.open = slices.DeleteFunc(e.open, func(q *Posting) bool { return q == p })
 	p.unrun = o == Full || o == Undialed || o == Unsent
@@ -541,11 +541,11 @@
 	case Full:
 		// Danger: an executor that turns all away at once looks idle and draws everything; each refusal in a row
 		// doubles the time it is passed over.
-		e.limit = max(cut*min(e.limit, e.busy+t.Slots), 1)
+		e.limit = max(cut*min(e.limit, e.busy+t.Slots), leastRoom)
 		e.refused = min(max(2*e.refused, 2*d.patience()), longest)
 		e.shutTill = d.now + e.refused
 	}
-	if over && !t.Over {
+	if over {
 		d.close(t)
 	}
 	p.then()
@@ -575,7 +575,7 @@
 	// Danger: a decline tells the client that trying again is harmless; where it might not be, reverse.
 	s := t.Scheme
 	if s.Effect == Repeatable || anchor(t) == nil || s.Effect == Referenced && s.Reach == ReachAll {
-		back := int64(0)
+		var back int64
 		if d.terms.MayAdvise {
 			back = d.terms.MaxReturn
 		}
@@ -593,9 +593,8 @@
 	if !p.Open || p.started > 0 {
 		return
 	}
-	p.started = d.now
-	p.Executor.refused = 0
 	t, e := p.Txn, p.Executor
+	p.started, e.refused = d.now, 0
 	if d.prompt == 0 || d.now-p.sent < d.prompt {
 		d.prompt = d.now - p.sent
 	}
@@ -609,7 +608,7 @@
 		d.sizes[e.kind] = max(d.sizes[e.kind], atWork)
 	}
 	if d.now-p.sent <= d.patience() && e.busy+1 >= e.limit {
-		e.limit++
+		e.limit += min(e.limit, 1)
 	}
 	// Tied copies: the first to start is kept, the others are still waiting and cost nothing to take back.
 	for _, q := range t.Postings {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -165,6 +165,7 @@
 	open     []*Posting
 	busy     float64 // slots of open postings
 	limit    float64
+	idleAt   int64 // when the latest posting ended
 	refused  int64 // pause after the latest refusal in a row
 	shutTill int64
 	sends    []charge
