--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -2,8 +2,8 @@
 
 // Package dispatch decides, for one node, which executor gets which txn, and when a txn is given up.
 //
-// How to call it: New once at the start of a node, At with the clock before each event, one call an event (List,
-// ListFailed, Arrive, Started, Progress, Ended, Left, an alarm's closure), Settle after the last event of a round.
+// How to call it: New at the start of a node; At with the clock before each event; one call an event (List,
+// ListFailed, Arrive, Started, Progress, Ended, Left, an alarm's closure); Settle after a round of events.
 // Its only way out is Door, in types.go. Nothing here blocks or keeps time.
 package dispatch
 
@@ -14,26 +14,28 @@
 )
 
 const (
-	poolSize  = 50   // scores; the design's pool
-	topScore  = 10.0 // points; the design's first place, also what a mean score is divided by
-	unscored  = 0.5  // share of the top score for an executor without scores; the design's start
-	penalty   = 0.3  // factor on H for a time-out, failed connection or error; the design's
-	reward    = 0.15 // added to H by a success; the design's
-	leastH    = 0.1  // H under which an executor is left out; the design's
-	recovery  = 10e9 // ns; time constant of H on its way back to 1; the design's start
-	margin    = 1.0  // jobs over its fair part that make an executor crowded; the least that is not noise
-	leastRoom = 0.1  // slots; bound of the in-flight limit; ten pauses as long as a job between two
-	firstRoom = 4.0  // slots in flight allowed before anything is known; a small machine's worth
-	cut       = 0.7  // share of the in-flight limit kept when a posting was seen to wait; the usual mild cut
-	overrun   = 2.0  // times the high end of measured running time that make a job overdue; clear of chance
-	highEnd   = 0.9  // quantile taken as high end; the histograms are too small to know more
-	missing   = 1.5  // progress periods without a note that mean standing still; one late note is no proof
-	safety    = 0.7  // part of the cold budget that is used; speeds and hints are guesses
-	hopeless  = 0.5  // expected part of the billing value under which a waiting txn is given up; an even chance
-	longest   = 2e9  // ns; bound of the pause after refusals in a row; a slow list's delay
-	shareTime = 3e9  // ns; memory of tenants' arrivals; shorter than a burst, longer than chance
-	overMark  = 1.3  // times the others' measure that a tenant may send; usage differs by some tens of percent
-	halveAt   = 64   // entries at which a histogram is halved; some tens of seconds of a scheme's answers
+	poolSize   = 50   // scores; the design's pool
+	topScore   = 10.0 // points; the design's first place, also what a mean score is divided by
+	unscored   = 0.5  // share of the top score for an executor without scores; the design's start
+	penalty    = 0.3  // factor on H for a time-out, failed connection or error; the design's
+	reward     = 0.15 // added to H by a success; the design's
+	leastH     = 0.1  // H under which an executor is left out; the design's
+	recovery   = 10e9 // ns; time constant of H on its way back to 1; the design's start
+	margin     = 1.0  // jobs over its fair part that make an executor crowded; the least that is not noise
+	leastRoom  = 0.1  // slots; bound of the in-flight limit; ten pauses as long as a job between two
+	firstRoom  = 4.0  // slots in flight allowed before anything is known; a small machine's worth
+	cut        = 0.7  // share of the in-flight limit kept when a posting was seen to wait; the usual mild cut
+	overrun    = 2.0  // times the high end of measured running time that make a job overdue; clear of chance
+	highEnd    = 0.9  // quantile taken as high end; the histograms are too small to know more
+	missing    = 1.5  // progress periods without a note that mean standing still; one late note is no proof
+	firstRun   = 1.5  // running time over the hint until it was measured; a slow machine's
+	safety     = 0.7  // part of the cold budget that is used; speeds and hints are guesses
+	hopeless   = 0.5  // part of the billing value to be expected for a txn to wait on; an even chance
+	longest    = 2e9  // ns; bound of the pause after refusals in a row; a slow list's delay
+	schemeTime = 1e10 // ns; memory of what schemes were served; some times the longest wait
+	shareTime  = 3e9  // ns; memory of tenants' arrivals; shorter than a burst, longer than chance
+	overMark   = 1.3  // times the others' measure that a tenant may send; usage differs by tens of percent
+	halveAt    = 64   // entries at which a histogram is halved; some tens of seconds of a scheme's answers
 )
 
 // places are the scores by rank; the design's start.
@@ -96,6 +98,18 @@
 	return float64(x>>rot|x<<(-rot&31)) / (1 << 32)
 }
 
+// ledger is what was asked for and what of it was earned, fading.
+type ledger struct {
+	asked, earned float64
+	at            int64
+}
+
+func (l *ledger) fade(now int64, over float64) *ledger {
+	f := math.Exp(-float64(now-l.at) / over)
+	l.asked, l.earned, l.at = l.asked*f, l.earned*f, now
+	return l
+}
+
 // last is how a recent job of one scheme and slot count went at one executor.
 type last struct {
 	at   *Executor
@@ -110,26 +124,26 @@
 
 // Dispatcher is the decision module of one node.
 type Dispatcher struct {
-	terms     *Terms
-	door      Door
-	now       int64
-	chance    pcg
-	fleet     []*Executor
-	queue     []*Txn
-	recent    map[family][]last
-	runs      []spread  // by scheme: running time over hint, or in seconds where there is no hint
-	prompt    int64     // least time seen from sending to the note of the start; 0: none seen
-	sizes     []float64 // by kind: most slots seen at work in one executor
-	counts    []float64 // by tenant: arrivals, fading
-	countedAt int64
-	pumped    bool  // an alarm to look at the queue is out
-	asked     int64 // wait before the next call for the list
-}
-
-// New starts the module of one node.
+	terms   *Terms
+	door    Door
+	now     int64
+	chance  pcg
+	fleet   []*Executor
+	queue   []*Txn
+	recent  map[family][]last
+	runs    []spread  // by scheme: running time over hint, or in seconds where there is no hint
+	prompt  int64     // least time seen from sending to the note of the start; 0: none seen
+	sizes   []float64 // by kind: most slots seen at work in one executor
+	tenants []ledger  // arrivals
+	schemes []ledger  // billing value
+	pumped  bool      // an alarm to look at the queue is out
+}
+
+// New starts the module of a node.
 func New(terms *Terms, seed uint64, door Door, now int64) *Dispatcher {
 	d := &Dispatcher{terms: terms, door: door, now: now, chance: pcg(seed), recent: map[family][]last{},
-		runs: make([]spread, len(terms.Schemes)), counts: make([]float64, len(terms.Tenants))}
+		runs: make([]spread, len(terms.Schemes)), tenants: make([]ledger, len(terms.Tenants)),
+		schemes: make([]ledger, len(terms.Schemes))}
 	if terms.Subscribe {
 		door.Watch(true)
 	}
@@ -139,9 +153,6 @@
 // At sets the clock.
 func (d *Dispatcher) At(now int64) { d.now = now }
 
-// Settle ends a round of events: what waits is placed where room came free.
-func (d *Dispatcher) Settle() { d.pump() }
-
 // List takes the list or changes to it; whole says that absent executors are gone.
 func (d *Dispatcher) List(whole bool, members []Member) {
 	for _, e := range d.fleet {
@@ -155,10 +166,9 @@
 			e.h, e.hAt, e.limit = 1, d.now, firstRoom
 		}
 		if !e.known {
-			e.known = true
 			d.fleet = append(d.fleet, e)
 		}
-		e.State, e.zone, e.kind, e.cell, e.units, e.since = m.State, m.Zone, m.Kind, m.Cell, m.Units, m.Since
+		e.known, e.State, e.zone, e.kind, e.cell, e.since = true, m.State, m.Zone, m.Kind, m.Cell, m.Since
 		for e.kind >= len(d.sizes) {
 			d.sizes = append(d.sizes, 1)
 		}
@@ -167,74 +177,83 @@
 		e.known = e.State != Gone
 		return !e.known
 	})
-	d.asked = 0
 }
 
-// ListFailed takes the failure of a call for the list. The next call waits longer each time, so that a
-// list service that is down is not pushed further.
+// ListFailed takes the failure of a call for the list; the next one waits, to spare a service in trouble.
 func (d *Dispatcher) ListFailed() {
-	d.asked = min(2*d.asked+d.terms.AskWithin/16, d.terms.AskWithin/2)
-	d.door.Alarm(d.asked, func() { d.door.Watch(true) })
+	d.door.Alarm(d.terms.AskWithin/8, func() { d.door.Watch(true) })
 }
 
 // Arrive takes a txn.
 func (d *Dispatcher) Arrive(t *Txn) {
 	t.arrived, t.over = d.now, d.overShare(t)
-	t.aim = min(d.now+t.Scheme.SlaTime+int64(t.Scheme.Stretch*float64(d.work(t))), t.Expiry)
-	t.worth = t.Scheme.Value / max(t.Slots, 1)
-	if !d.terms.ByWork {
-		t.worth /= float64(d.work(t))
+	work := t.Hint
+	if work == 0 {
+		work = d.running(t, 0.5)
+	}
+	t.aim = min(d.now+t.Scheme.SlaTime+int64(t.Scheme.Stretch*float64(work)), t.Expiry)
+	t.size = max(t.Slots, 1) * float64(work)
+	if t.value = t.Scheme.Value; d.terms.ByWork {
+		t.value *= t.size
 	}
 	if t.over {
-		t.worth *= d.terms.OverValue
+		t.value *= d.terms.OverValue
 	}
+	d.schemes[t.Scheme.Index].fade(d.now, schemeTime).asked += t.value
 	// Danger: a txn that is forgotten. This alarm answers it whatever else happens.
 	d.door.Alarm(t.Expiry-d.now-2*d.terms.Tick, func() { d.finish(t) })
 	d.enqueue(t)
 }
 
-// overShare tells by chance whether a txn lies beyond its tenant's share: in the proportion in which the tenant's
-// arrivals here exceed what the other tenants' say of this node's traffic. It orders the queue, no more.
+// overShare tells by chance whether a txn lies beyond its tenant's share, by how far the tenant's arrivals
+// exceed what the other tenants' say of this node's traffic. It orders the queue, no more.
 func (d *Dispatcher) overShare(t *Txn) bool {
 	if t.Tenant < 0 || t.Tenant >= len(d.terms.Tenants) {
 		return false
 	}
-	fade := math.Exp(-float64(d.now-d.countedAt) / shareTime)
-	d.countedAt = d.now
 	var others, shares float64
 	for i, tenant := range d.terms.Tenants {
-		d.counts[i] *= fade
 		if i != t.Tenant {
-			others, shares = others+d.counts[i], shares+tenant.Share
+			others, shares = others+d.tenants[i].fade(d.now, shareTime).asked, shares+tenant.Share
 		}
 	}
-	d.counts[t.Tenant]++
-	if shares <= 0 {
-		return false
+	own := d.tenants[t.Tenant].fade(d.now, shareTime)
+	own.asked++
+	return d.chance.unit()*own.asked*shares > overMark*(others+1)*d.terms.Tenants[t.Tenant].Share
+}
+
+// favour is what a txn of a scheme counts for over its value: more in the scheme served worst, by the terms.
+func (d *Dispatcher) favour(s *Scheme) float64 {
+	own, all := d.schemes[s.Index].fade(d.now, schemeTime), 0.0
+	for i := range d.schemes {
+		l := d.schemes[i].fade(d.now, schemeTime)
+		if all += l.asked; l.earned*own.asked < own.earned*l.asked {
+			return 1
+		}
 	}
-	within := overMark * (others + 1) / shares * d.terms.Tenants[t.Tenant].Share
-	return d.chance.unit()*d.counts[t.Tenant] > within
+	return 1 + d.terms.WorstScheme*all/max(own.asked, 1e-9)
 }
 
-// work is what the txn is expected to cost on a standard core.
-func (d *Dispatcher) work(t *Txn) int64 {
+// unit is what running times of the txn's scheme are measured in.
+func (t *Txn) unit() float64 {
 	if t.Hint > 0 {
-		return t.Hint
+		return float64(t.Hint)
 	}
-	return max(int64(1e9*d.runs[t.Scheme.Index].at(0.5, float64(t.Scheme.SlaTime)/1e9)), 1e6)
+	return 1e9
 }
 
 // running is how long the txn is expected to run, at quantile q.
 func (d *Dispatcher) running(t *Txn, q float64) int64 {
-	if t.Hint > 0 {
-		return int64(float64(t.Hint) * d.runs[t.Scheme.Index].at(q, 1.5))
+	unknown := firstRun
+	if t.Hint == 0 {
+		unknown = float64(t.Scheme.SlaTime) / 1e9
 	}
-	return max(int64(1e9*d.runs[t.Scheme.Index].at(q, float64(t.Scheme.SlaTime)/1e9)), 1e6)
+	return max(int64(t.unit()*d.runs[t.Scheme.Index].at(q, unknown)), 1e6)
 }
 
 // place posts the txn or lets it wait at the node.
 func (d *Dispatcher) place(t *Txn) {
-	if t.Over || d.live(t) > 0 {
+	if t.Over || t.live() > 0 {
 		return
 	}
 	if len(t.Postings) >= d.terms.MostPostings || anchor(t) != nil && t.Scheme.Effect == OnceOnly {
@@ -264,7 +283,7 @@
 	return t.Scheme.Effect == Referenced && d.now-anchor(t).sent >= t.Scheme.Memory-d.terms.Tick
 }
 
-func (d *Dispatcher) live(t *Txn) (n int) {
+func (t *Txn) live() (n int) {
 	for _, p := range t.Postings {
 		if p.Open && !p.withdrawn {
 			n++
@@ -306,7 +325,7 @@
 	if warmth == 1 {
 		return true
 	}
-	sum := float64(d.work(t)) * max(t.Slots, 1)
+	sum := t.size
 	for _, c := range e.sends {
 		if d.now-c.at <= d.terms.Fall {
 			sum += c.work
@@ -330,18 +349,18 @@
 	return 1 - (1-e.h)*math.Exp(-float64(d.now-e.hAt)/recovery)
 }
 
-// weight is the mean score over the top score (H comes on top); a cold executor counts by its age.
+// weight is the design's: mean score over the top score, times H; a cold executor counts by its age.
 func (d *Dispatcher) weight(e *Executor) float64 {
 	score := unscored
 	if e.pooled > 0 {
 		score = float64(e.sum) / float64(e.pooled) / topScore
 	}
-	return max(score, 0.01) * d.warmth(e)
+	return max(score, 0.01) * d.health(e) * d.warmth(e)
 }
 
 // waits says whether the executor lets a posting wait for longer than a start takes, or has just refused one.
 func (d *Dispatcher) waits(e *Executor, run int64) bool {
-	// Danger: one posting from each of many nodes fills a small executor. A limit under one is kept by pausing.
+	// Danger: one posting from each of many nodes fills a small machine. A limit under one is kept by pausing.
 	pause := (1/min(e.limit, 1) - 1) * float64(run)
 	if d.now < e.shutTill || e.busy == 0 && float64(d.now-e.idleAt) < pause {
 		return true
@@ -362,48 +381,40 @@
 
 // draw picks an executor: home zone before others where crossing has a price, crowded ones redrawn, then any
 // that has room. Nil: none has room now.
-func (d *Dispatcher) draw(t *Txn) *Executor {
+func (d *Dispatcher) draw(t *Txn) (pick *Executor) {
 	run := d.running(t, 0.5)
-	var fit []*Executor
-	var weights []float64
-	for _, least := range []float64{leastH, 0} {
-		for _, e := range d.fleet {
-			if h := d.health(e); h >= least && d.allowed(t, e) {
-				fit, weights = append(fit, e), append(weights, d.weight(e)*h)
-			}
-		}
-		if len(fit) > 0 {
-			break
+	var fit, sick []*Executor
+	for _, e := range d.fleet {
+		switch {
+		case !d.allowed(t, e):
+		case d.health(e) < leastH:
+			sick = append(sick, e)
+		default:
+			fit = append(fit, e)
 		}
 	}
-	for step := 0; step < 3; step++ {
-		home, calm := step == 0 && d.terms.CrossPrice > 0, step < 2
+	if len(fit) == 0 {
+		fit = sick
+	}
+	for step := 0; step < 3 && pick == nil; step++ {
+		far := step > 0 || d.terms.CrossPrice == 0
 		var busy, total, sum float64
-		for i, e := range fit {
-			if !home || e.zone == d.terms.Zone {
-				busy, total = busy+e.busy, total+weights[i]
-			}
-		}
-		ok := func(i int) bool {
-			e := fit[i]
-			return (!home || e.zone == d.terms.Zone) && !d.waits(e, run) && (e.busy == 0 ||
-				e.busy+t.Slots <= e.limit && (!calm || e.busy < margin+busy*weights[i]/total))
-		}
-		for i := range fit {
-			if ok(i) {
-				sum += weights[i]
+		for _, e := range fit {
+			if far || e.zone == d.terms.Zone {
+				busy, total = busy+e.busy, total+d.weight(e)
 			}
 		}
-		pick := d.chance.unit() * sum
-		for i, e := range fit {
-			if ok(i) {
-				if pick -= weights[i]; pick < 0 {
-					return e
+		for _, e := range fit {
+			weight := d.weight(e)
+			crowded := e.busy+t.Slots > e.limit || step < 2 && e.busy >= margin+busy*weight/total
+			if (far || e.zone == d.terms.Zone) && !d.waits(e, run) && (e.busy == 0 || !crowded) {
+				if sum += weight; d.chance.unit()*sum < weight {
+					pick = e
 				}
 			}
 		}
 	}
-	return nil
+	return pick
 }
 
 // post sends the txn to the executor and leaves behind what its outcome leads to.
@@ -414,7 +425,7 @@
 	e.busy += t.Slots
 	if d.warmth(e) < 1 {
 		old := func(c charge) bool { return d.now-c.at > d.terms.Fall }
-		e.sends = append(slices.DeleteFunc(e.sends, old), charge{d.now, float64(d.work(t)) * max(t.Slots, 1)})
+		e.sends = append(slices.DeleteFunc(e.sends, old), charge{d.now, t.size})
 	}
 	p.then = func() { d.place(t) }
 	d.door.Post(p)
@@ -473,7 +484,7 @@
 
 // copy sends the txn of a late posting to a second executor that has room for it.
 func (d *Dispatcher) copy(p *Posting) {
-	if t := p.Txn; d.live(t) == 1 && len(t.Postings) < d.terms.MostPostings {
+	if t := p.Txn; t.live() == 1 && len(t.Postings) < d.terms.MostPostings {
 		if other := d.draw(t); other != nil {
 			d.post(t, other)
 		}
@@ -519,40 +530,41 @@
 // Ended takes the outcome of a posting; over says that the txn has ended by it or earlier.
 func (d *Dispatcher) Ended(p *Posting, o Outcome, took int64, over bool) {
 	t, e := p.Txn, p.Executor
-	p.Open, e.idleAt = false, d.now
+	if p.Open, e.idleAt = false, d.now; p.started > 0 {
+		e.atWork -= t.Slots
+	}
 	e.busy -= t.Slots
 	e.open = slices.DeleteFunc(e.open, func(q *Posting) bool { return q == p })
 	p.unrun = o == Full || o == Undialed || o == Unsent
 	switch o {
 	case Settled:
+		if !t.Over && d.now <= t.aim {
+			d.schemes[t.Scheme.Index].earned += t.value
+		}
 		if !p.blamed {
 			e.h, e.hAt = min(d.health(e)+reward, 1), d.now
-			d.rank(p, float64(took)/float64(max(t.Hint, 1)), false)
-		}
-		unit := 1e9
-		if t.Hint > 0 {
-			unit = float64(t.Hint)
+			d.rank(p, float64(took)/t.unit(), false)
 		}
-		d.runs[t.Scheme.Index].add(float64(d.now-max(p.sent, p.started)) / unit)
+		d.runs[t.Scheme.Index].add(float64(d.now-max(p.sent, p.started)) / t.unit())
 	case Erred, TimedOut, Undialed, Broken:
 		if !p.withdrawn {
 			d.blame(p)
 		}
 	case Full:
-		// Danger: an executor that turns all away at once looks idle and draws everything; each refusal in a row
-		// doubles the time it is passed over.
+		// Danger: an executor that turns all away at once looks idle and draws everything; it is passed over,
+		// twice as long for each refusal in a row.
 		e.limit = max(cut*min(e.limit, e.busy+t.Slots), leastRoom)
 		e.refused = min(max(2*e.refused, 2*d.patience()), longest)
 		e.shutTill = d.now + e.refused
 	}
 	if over {
-		d.close(t)
+		d.Left(t)
 	}
 	p.then()
 }
 
-// close stops all that is still out for an ended txn.
-func (d *Dispatcher) close(t *Txn) {
+// Left stops all that is out for a txn that is answered, or whose client has gone.
+func (d *Dispatcher) Left(t *Txn) {
 	t.Over = true
 	for _, p := range t.Postings {
 		d.withdraw(p)
@@ -571,7 +583,7 @@
 	if t.Over {
 		return
 	}
-	d.close(t)
+	d.Left(t)
 	// Danger: a decline tells the client that trying again is harmless; where it might not be, reverse.
 	s := t.Scheme
 	if s.Effect == Repeatable || anchor(t) == nil || s.Effect == Referenced && s.Reach == ReachAll {
@@ -585,9 +597,6 @@
 	}
 }
 
-// Left takes the news that the client has gone.
-func (d *Dispatcher) Left(t *Txn) { d.close(t) }
-
 // Started takes the note that a posting's job runs.
 func (d *Dispatcher) Started(p *Posting) {
 	if !p.Open || p.started > 0 {
@@ -598,15 +607,8 @@
 	if d.prompt == 0 || d.now-p.sent < d.prompt {
 		d.prompt = d.now - p.sent
 	}
-	atWork := 0.0
-	for _, q := range e.open {
-		if q.started > 0 {
-			atWork += q.Txn.Slots
-		}
-	}
-	if e.kind < len(d.sizes) {
-		d.sizes[e.kind] = max(d.sizes[e.kind], atWork)
-	}
+	e.atWork += t.Slots
+	d.sizes[e.kind] = max(d.sizes[e.kind], e.atWork)
 	if d.now-p.sent <= d.patience() && e.busy+1 >= e.limit {
 		e.limit += min(e.limit, 1)
 	}
@@ -622,29 +624,28 @@
 // Progress takes the note of the share done.
 func (d *Dispatcher) Progress(p *Posting, share float64) { p.share, p.told = share, d.now }
 
-// pump places waiting txns, the worthiest first, and gives up those that can no longer earn.
-func (d *Dispatcher) pump() {
-	if len(d.queue) == 0 {
-		return
-	}
+// Settle ends a round of events: it places waiting txns, the worthiest first, and gives up those that can no
+// longer earn enough.
+func (d *Dispatcher) Settle() {
 	waiting := d.queue
 	d.queue = nil
 	for _, t := range waiting {
 		t.queued, t.earns = false, d.earns(t)
 	}
 	slices.SortStableFunc(waiting, func(a, b *Txn) int { return cmp.Compare(b.earns, a.earns) })
-	stuck := map[family]bool{}
+	var stuck []family
 	for _, t := range waiting {
 		fresh, key := len(t.Postings) == 0, family{t.Scheme, t.Slots}
 		switch {
 		case t.Over:
 		case t.earns <= 0:
 			d.finish(t)
-		case fresh && stuck[key]:
+		case fresh && slices.Contains(stuck, key):
 			d.enqueue(t)
 		default:
-			d.place(t)
-			stuck[key] = stuck[key] || fresh && t.queued
+			if d.place(t); fresh && t.queued {
+				stuck = append(stuck, key)
+			}
 		}
 	}
 	if len(d.queue) > 0 && !d.pumped {
@@ -667,11 +668,11 @@
 	if part < hopeless || d.now+d.running(t, 0.5) >= t.Expiry || d.now-t.arrived > 2*(t.aim-t.arrived) {
 		return 0
 	}
-	return part * t.worth
+	return part * t.value / t.size * d.favour(t.Scheme)
 }
 
-// onTime is the chance that a txn started now ends within its SLA time. Without a hint it must be a long enough
-// job, whose SLA time is stretched, to make up for its wait; with one the executor must be fast enough.
+// onTime is the chance that a txn started now ends within its SLA time. Without a hint only a long job, whose
+// SLA time is stretched, makes up for its wait; with one a fast executor does.
 func (d *Dispatcher) onTime(t *Txn) float64 {
 	room, runs := float64(t.arrived+t.Scheme.SlaTime-d.now), &d.runs[t.Scheme.Index]
 	if t.Hint > 0 {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -61,6 +61,7 @@
 	DialTimeout  int64
 	CrossPrice   float64
 	WastePrice   float64
+	WorstScheme  float64 // weight of the scheme served worst, over that of the whole
 	DrainGrace   int64
 	ColdShare    float64
 	Cold         int64
@@ -126,8 +127,10 @@
 	Over     bool // the final answer is given, or the client has left
 
 	arrived, aim int64
-	worth, earns float64
-	queued, over bool // over: beyond its tenant's share
+	value        float64 // billing value when in time
+	size         float64 // slots times expected work
+	earns        float64 // billing value for each unit of size that can be expected now
+	queued, over bool    // over: beyond its tenant's share
 }
 
 // Posting is one sending of a txn to an executor.
@@ -152,7 +155,6 @@
 	State State
 
 	zone, kind, cell int
-	units            float64
 	since            int64
 	known            bool
 
@@ -164,6 +166,7 @@
 
 	open     []*Posting
 	busy     float64 // slots of open postings
+	atWork   float64 // of these, slots of started ones
 	limit    float64
 	idleAt   int64 // when the latest posting ended
 	refused  int64 // pause after the latest refusal in a row
--- a/internal/simwire/fields.go
+++ b/internal/simwire/fields.go
@@ -115,6 +115,7 @@
 		CrossPrice: f.realOr("Prices.CrossZone", 0), WastePrice: f.realOr("Prices.Waste", 0),
 		DrainGrace: f.wholeOr("Rules.DrainGrace", 0), ColdShare: f.realOr("Rules.ColdShare", 0),
 		Cold: f.wholeOr("Rules.Cold", 0), Fall: f.wholeOr("Rules.Fall", 0),
+		WorstScheme:  f.realOr("ScoreParts.WorstClass", 0) / max(f.realOr("ScoreParts.Whole", 1), 0.01),
 		FallMultiple: f.realOr("Rules.FallMultiple", 1), AskWithin: f.wholeOr("Rules.AskWithin", 1e9),
 	}
 	kinds := strings.Split(word("Extra.ClassKind"), ",")
