--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -4,7 +4,206 @@
 
 import "testing"
 
-func TestSpreadQuantile(t *testing.T) {
+// FuzzRules drives the module through random legal histories; every action is held against the four rules.
+func FuzzRules(f *testing.F) {
+	for seed := range uint64(24) {
+		f.Add(seed, uint8(seed))
+	}
+	f.Fuzz(func(t *testing.T, seed uint64, terms uint8) {
+		w := newWorld(t, seed, basicTerms())
+		w.terms.MayDuplicate = terms&1 == 0
+		w.terms.MayCancel = terms&2 == 0
+		w.terms.TellsStart = terms&4 == 0
+		if terms&8 != 0 {
+			w.terms.CrossPrice, w.terms.Progress = 0.1, 0
+		}
+		w.join(1+int(seed%13), true)
+		for range 600 {
+			w.step()
+		}
+		w.finish()
+		for len(w.open) > 0 {
+			w.end(w.open[0], Revoked)
+		}
+		for _, m := range w.fleet {
+			if e := m.Executor; e.busy != 0 || e.atWork != 0 || len(e.open) != 0 {
+				t.Fatalf("executor keeps %v slots, %v at work, %d postings", e.busy, e.atWork, len(e.open))
+			}
+		}
+	})
+}
+
+func TestEmptyFleetStillAnswers(t *testing.T) {
+	w := newWorld(t, 1, basicTerms())
+	w.d.List(true, nil)
+	w.arrive(0, 1, 1e8, 2e9)
+	w.arrive(2, 1, 1e8, 1)
+	w.finish()
+}
+
+func TestHealth(t *testing.T) {
+	w := newWorld(t, 1, basicTerms())
+	w.join(1, false)
+	e := w.fleet[0].Executor
+	near := func(want float64) {
+		t.Helper()
+		if got := w.d.health(e); got < want-0.02 || got > want+0.02 {
+			t.Fatalf("H is %v, want %v", got, want)
+		}
+	}
+	near(1)
+	w.arrive(0, 1, 1e8, 5e9)
+	w.end(w.open[0], Undialed)
+	near(penalty)
+	w.end(w.open[0], Full)
+	near(penalty)
+	w.pass(2e8)
+	before := w.d.health(e)
+	w.end(w.open[0], Settled)
+	near(before + reward)
+	w.pass(recovery)
+	near(1 - (1-before-reward)*0.37)
+}
+
+func TestRankAgainstTwoOthers(t *testing.T) {
+	w := newWorld(t, 1, basicTerms())
+	w.join(3, false)
+	fast, mid, slow := w.fleet[0].Executor, w.fleet[1].Executor, w.fleet[2].Executor
+	job := func(e *Executor, time float64, lost bool) {
+		w.d.rank(&Posting{Txn: &Txn{Scheme: w.terms.Schemes[0], Slots: 1}, Executor: e}, time, lost)
+	}
+	job(fast, 1, false)
+	job(mid, 2, false)
+	if fast.pooled+mid.pooled != 0 {
+		t.Fatal("scored without two others")
+	}
+	for range 60 {
+		job(slow, 3, false)
+		job(fast, 1, false)
+		job(mid, 2, false)
+	}
+	if fast.sum != 10*poolSize || mid.sum != 6*poolSize || slow.sum != 2*poolSize {
+		t.Fatalf("sums %d %d %d", fast.sum, mid.sum, slow.sum)
+	}
+	job(fast, 0, true)
+	if fast.sum != 10*(poolSize-1) {
+		t.Fatalf("a lost job must earn 0: sum %d", fast.sum)
+	}
+	job(mid, 0, true)
+	sum, pooled := slow.sum, slow.pooled
+	if job(slow, 0, true); slow.sum != sum || slow.pooled != pooled {
+		t.Fatal("a loss that all share was counted")
+	}
+}
+
+func TestDrawFollowsWeight(t *testing.T) {
+	w := newWorld(t, 1, basicTerms())
+	w.join(2, false)
+	good, bad := w.fleet[0].Executor, w.fleet[1].Executor
+	good.pooled, good.sum, bad.pooled, bad.sum = 10, 90, 10, 30
+	count := 0
+	for range 4000 {
+		if w.d.draw(&Txn{Scheme: w.terms.Schemes[0], Slots: 1, Hint: 1e8}) == good {
+			count++
+		}
+	}
+	if count < 2880 || count > 3120 {
+		t.Fatalf("%d of 4000 draws for three quarters of the weight", count)
+	}
+	bad.h, bad.hAt = 0.05, w.now
+	for range 100 {
+		if w.d.draw(&Txn{Scheme: w.terms.Schemes[0], Slots: 1, Hint: 1e8}) == bad {
+			t.Fatal("drawn below the least H though another remains")
+		}
+	}
+	good.State = Draining
+	if w.d.draw(&Txn{Scheme: w.terms.Schemes[0], Slots: 1, Hint: 1e8}) != bad {
+		t.Fatal("the only one left was not drawn")
+	}
+}
+
+func TestTiedCopies(t *testing.T) {
+	w := newWorld(t, 1, basicTerms())
+	w.join(4, false)
+	w.arrive(0, 1, 1e8, 5e9)
+	w.pass(4e8)
+	if len(w.open) != 2 {
+		t.Fatalf("%d postings out for a txn that does not start", len(w.open))
+	}
+	w.d.Started(w.open[1])
+	if w.withdraw != 1 || !w.open[0].withdrawn {
+		t.Fatal("the copy that still waits was not taken back")
+	}
+}
+
+// A machine that answers full at once looks idle; it must not draw all postings.
+func TestRefusalsPause(t *testing.T) {
+	w := newWorld(t, 1, basicTerms())
+	w.join(2, false)
+	bad, full := w.fleet[0].Executor, 0
+	for range 200 {
+		w.arrive(0, 1, 1e7, 1e9)
+		for len(w.open) > 0 {
+			if p := w.open[0]; p.Executor == bad {
+				full++
+				w.end(p, Full)
+			} else {
+				w.d.Started(p)
+				w.end(p, Settled)
+			}
+		}
+		w.pass(2e7)
+	}
+	if full > 20 {
+		t.Fatalf("%d postings to an executor that refuses all", full)
+	}
+}
+
+// In a jam start notes come late; the limits must fall all the same, below one a node if need be.
+func TestLimitFallsInJam(t *testing.T) {
+	w := newWorld(t, 1, basicTerms())
+	w.join(1, false)
+	e := w.fleet[0].Executor
+	w.arrive(0, 1, 1e8, 5e9)
+	w.pass(8e6)
+	w.d.Started(w.open[0])
+	w.end(w.open[0], Settled)
+	for range 12 {
+		w.arrive(0, 1, 1e8, 5e9)
+		w.pass(4e8)
+		for len(w.open) > 0 {
+			w.d.Started(w.open[0])
+			w.end(w.open[0], Settled)
+		}
+	}
+	if e.limit >= 1 {
+		t.Fatalf("limit is still %v", e.limit)
+	}
+}
+
+// A burst of one tenant must not count as within its share; even traffic must.
+func TestOverShare(t *testing.T) {
+	terms := basicTerms()
+	terms.OverValue, terms.Tenants = 0.1, []*Tenant{{Share: 0.5}, {Share: 0.5}}
+	w := newWorld(t, 1, terms)
+	over := func(n, burst int) (count int) {
+		for i := range n {
+			if tenant := min(i%burst, 1); w.d.overShare(&Txn{Tenant: tenant}) && tenant == 1 {
+				count++
+			}
+		}
+		return count
+	}
+	if got := over(200, 2); got > 10 {
+		t.Fatalf("%d of 100 even txns over the share", got)
+	}
+	w.pass(3e10)
+	if got := over(600, 6); got < 250 {
+		t.Fatalf("%d of 500 txns of a burst over the share", got)
+	}
+}
+
+func TestSpread(t *testing.T) {
 	var s spread
 	if got := s.at(0.5, 7); got != 7 {
 		t.Fatalf("empty: %v", got)
@@ -12,10 +211,10 @@
 	for range 100 {
 		s.add(0.3)
 	}
-	if got := s.at(0.5, 7); got < 0.25 || got > 0.36 {
-		t.Fatalf("median of 0.3s: %v", got)
+	if got := s.at(0.5, 7); got < 0.25 || got > 0.36 || s.n >= halveAt {
+		t.Fatalf("median of 0.3s: %v, entries %d", got, s.n)
 	}
-	if s.n >= halveAt {
-		t.Fatalf("not halved: %d", s.n)
+	if lo, hi := s.below(0.1), s.below(1); lo > 0.1 || hi < 0.9 {
+		t.Fatalf("share below 0.1: %v, below 1: %v", lo, hi)
 	}
 }
--- /dev/null
+++ b/dispatch/helpers_test.go
@@ -0,0 +1,248 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// world is a Door that holds every action against the four rules at the moment it is taken, and drives the module
+// through random legal histories. It models no queues and no speeds: what executors do is chance.
+type world struct {
+	*testing.T
+	*rand.Rand
+	terms    *Terms
+	d        *Dispatcher
+	now      int64
+	alarms   []alarm
+	open     []*Posting
+	txns     []*Txn
+	ended    map[*Txn]int
+	mayRun   map[*Posting]bool // not proved unrun
+	sentAt   map[*Posting]int64
+	withdraw int
+	fleet    []*Member
+	stopped  map[*Executor]int64 // told since when that it drains or is gone
+	coldWork map[*Executor][]charge
+}
+
+type alarm struct {
+	at   int64
+	then func()
+}
+
+const testSlots = 4
+
+func basicTerms() *Terms {
+	return &Terms{Nodes: 2, Tick: 4e6, TellsStart: true, Progress: 1e9, MostPostings: 4, MayCancel: true,
+		MayDuplicate: true, MayAdvise: true, MaxReturn: 2e9, DrainGrace: 1e9, ColdShare: 0.2, Cold: 10e9, Fall: 2e9,
+		FallMultiple: 3, AskWithin: 8e9, Schemes: []*Scheme{
+			{SlaTime: 3e8, Stretch: 2, Value: 3, LateValue: 0.3, Kind: -1},
+			{Index: 1, SlaTime: 2e8, Stretch: 2, Value: 8, Kind: -1, Effect: Referenced, Reach: ReachCell, Memory: 3e9},
+			{Index: 2, SlaTime: 2e8, Stretch: 2, Value: 5, LateValue: 0.9, Kind: -1, Effect: OnceOnly},
+			{Index: 3, SlaTime: 2e8, Stretch: 2, Value: 1, Kind: 1, Effect: Referenced, Reach: ReachZone, Memory: 1e9},
+			{Index: 4, SlaTime: 2e8, Value: 1, LateValue: 0.9, Kind: -1, Effect: Referenced, Memory: 1e9}}}
+}
+
+func newWorld(t *testing.T, seed uint64, terms *Terms) *world {
+	w := &world{T: t, Rand: rand.New(rand.NewPCG(seed, 1)), terms: terms, now: 1e12, ended: map[*Txn]int{},
+		mayRun: map[*Posting]bool{}, sentAt: map[*Posting]int64{}, stopped: map[*Executor]int64{},
+		coldWork: map[*Executor][]charge{}}
+	w.d = New(terms, seed, w, w.now)
+	return w
+}
+
+// join lists n executors, two a cell and four a zone; every third one has just started when cold is set.
+func (w *world) join(n int, cold bool) {
+	for i := range n {
+		m := &Member{Executor: &Executor{}, Zone: i / 4, Cell: i / 2, Kind: i % 2}
+		if cold && i%3 == 0 {
+			m.Since = w.now - w.Int64N(w.terms.Cold)
+		}
+		w.fleet = append(w.fleet, m)
+	}
+	w.list(true)
+}
+
+func (w *world) list(whole bool) {
+	var members []Member
+	for _, m := range w.fleet {
+		_, stopped := w.stopped[m.Executor]
+		if m.State == Up {
+			delete(w.stopped, m.Executor)
+		} else if !stopped {
+			w.stopped[m.Executor] = w.now
+		}
+		if !whole || m.State != Gone {
+			members = append(members, *m)
+		}
+	}
+	if whole && len(members) > 0 {
+		members = append(members, members[0])
+	}
+	w.d.List(whole, members)
+}
+
+func (w *world) Post(p *Posting) {
+	w.Helper()
+	t := p.Txn
+	switch {
+	case w.ended[t] > 0:
+		w.Fatal("rule 1: posting for a txn that has its final answer")
+	case p.Number >= w.terms.MostPostings:
+		w.Fatal("more postings than the terms allow")
+	}
+	if at, stopped := w.stopped[p.Executor]; stopped && w.now > at+w.terms.DrainGrace {
+		w.Fatal("rule 3: posting to an executor that drains or is gone")
+	}
+	var first *Posting
+	for _, q := range t.Postings[:p.Number] {
+		if first == nil && w.mayRun[q] {
+			first = q
+		}
+		if q.Open && !w.terms.MayDuplicate {
+			w.Fatal("rule 2: two postings out where none may be doubled")
+		}
+	}
+	if s := t.Scheme; first != nil && s.Effect != Repeatable {
+		if s.Effect == OnceOnly || w.now-w.sentAt[first] > s.Memory ||
+			s.Reach == ReachCell && p.Executor.cell != first.Executor.cell ||
+			s.Reach == ReachZone && p.Executor.zone != first.Executor.zone {
+			w.Fatalf("rule 2: scheme %d sent again where it may run twice", s.Index)
+		}
+	}
+	w.mayRun[p], w.sentAt[p] = true, w.now
+	w.open = append(w.open, p)
+	w.cold(p)
+}
+
+// cold holds this node's sends to its part of a cold executor's budget.
+func (w *world) cold(p *Posting) {
+	e := p.Executor
+	i := slices.IndexFunc(w.fleet, func(m *Member) bool { return m.Executor == e })
+	if age := w.now - w.fleet[i].Since; w.fleet[i].Since > 0 && age < w.terms.Cold {
+		w.coldWork[e] = append(w.coldWork[e], charge{w.now, float64(p.Txn.Hint) * p.Txn.Slots})
+		sum, share := 0.0, w.terms.ColdShare+(1-w.terms.ColdShare)*float64(age)/float64(w.terms.Cold)
+		for _, c := range w.coldWork[e] {
+			if w.now-c.at <= w.terms.Fall {
+				sum += c.work
+			}
+		}
+		if sum > w.terms.FallMultiple*share*testSlots*float64(w.terms.Fall)/float64(w.terms.Nodes) {
+			w.Fatalf("rule 4: %.0f ms of work sent to a cold executor", sum/1e6)
+		}
+	}
+}
+
+func (w *world) Withdraw(p *Posting) {
+	if w.withdraw++; !w.terms.MayCancel {
+		w.Fatal("withdrawn where it is not permitted")
+	}
+}
+
+func (w *world) final(t *Txn) {
+	w.Helper()
+	if w.ended[t]++; w.ended[t] > 1 {
+		w.Fatal("rule 1: two final answers")
+	}
+	if w.now > t.Expiry {
+		w.Fatal("rule 1: final answer after expiry")
+	}
+}
+
+func (w *world) Decline(t *Txn, returnIn int64) {
+	w.Helper()
+	w.final(t)
+	for _, p := range t.Postings {
+		if s := t.Scheme; w.mayRun[p] && (s.Effect == OnceOnly || s.Effect == Referenced && s.Reach != ReachAll) {
+			w.Fatalf("rule 2: scheme %d declined though it may have run", s.Index)
+		}
+	}
+}
+
+func (w *world) Reverse(t *Txn) { w.final(t) }
+func (w *world) Watch(bool)     {}
+func (w *world) Log(string)     {}
+func (w *world) Alarm(after int64, then func()) {
+	w.alarms = append(w.alarms, alarm{w.now + max(after, 1), then})
+}
+
+// pass lets time go by, alarm by alarm, in whole ticks.
+func (w *world) pass(span int64) {
+	for end := w.now + span; w.now < end; {
+		w.now = min(w.now+w.terms.Tick, end)
+		w.d.At(w.now)
+		due := slices.Clone(w.alarms)
+		w.alarms = slices.DeleteFunc(w.alarms, func(a alarm) bool { return a.at <= w.now })
+		for _, a := range due {
+			if a.at <= w.now {
+				a.then()
+			}
+		}
+		w.d.Settle()
+	}
+}
+
+func (w *world) arrive(scheme int, slots float64, hint, left int64) *Txn {
+	t := &Txn{Scheme: w.terms.Schemes[scheme], Slots: slots, Hint: hint, Expiry: w.now + left}
+	w.txns = append(w.txns, t)
+	w.d.Arrive(t)
+	w.d.Settle()
+	return t
+}
+
+// end gives a posting an outcome, as the bench would.
+func (w *world) end(p *Posting, o Outcome) {
+	w.open = slices.DeleteFunc(w.open, func(q *Posting) bool { return q == p })
+	if o == Full || o == Undialed || o == Unsent {
+		w.mayRun[p] = false
+	}
+	if o == Settled && w.ended[p.Txn] == 0 {
+		w.final(p.Txn)
+	}
+	w.d.Ended(p, o, w.now-w.sentAt[p], w.ended[p.Txn] > 0)
+	w.d.Settle()
+}
+
+// step does one random legal thing.
+func (w *world) step() {
+	switch n := w.IntN(20); {
+	case n < 6:
+		w.arrive(w.IntN(len(w.terms.Schemes)), float64(int(1)<<w.IntN(3)), 1e7+w.Int64N(6e8), w.Int64N(5e9)+2e7)
+	case n < 10 && len(w.open) > 0:
+		w.end(w.open[w.IntN(len(w.open))], Outcome(w.IntN(int(Unsent)+1)))
+	case n < 14 && len(w.open) > 0:
+		p := w.open[w.IntN(len(w.open))]
+		if busy := p.Executor.atWork; busy+p.Txn.Slots <= testSlots {
+			w.d.Started(p)
+		}
+		w.d.Progress(p, w.Float64())
+	case n == 14:
+		m := w.fleet[w.IntN(len(w.fleet))]
+		if m.State = State(w.IntN(3)); m.State == Up && w.IntN(2) == 0 {
+			m.Since = w.now
+		}
+		w.list(w.IntN(3) == 0)
+	case n == 15 && len(w.txns) > 0:
+		if t := w.txns[w.IntN(len(w.txns))]; w.ended[t] == 0 && w.IntN(4) == 0 {
+			w.ended[t] = 1
+			w.d.Left(t)
+		}
+	case n == 16:
+		w.d.ListFailed()
+	default:
+		w.pass(w.Int64N(3e8))
+	}
+}
+
+// finish lets all expire and counts what was never answered.
+func (w *world) finish() {
+	w.pass(6e9)
+	for _, t := range w.txns {
+		if w.ended[t] != 1 {
+			w.Fatalf("rule 1: txn of scheme %d has %d final answers", t.Scheme.Index, w.ended[t])
+		}
+	}
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -131,8 +131,8 @@
 	defer func() {
 		if r := recover(); r != nil {
 			n.dead = true
-			trace := strings.NewReplacer("\n", " | ", "\t", " ").Replace(string(debug.Stack()))
-			n.say("CRASH", "Text", fmt.Sprintf("%v | %s", r, trace))
+			text := fmt.Sprintf("%v | %s", r, debug.Stack())
+			n.say("CRASH", "Text", strings.NewReplacer("\n", " | ", "\r", " ", "\t", " ").Replace(text))
 		}
 	}()
 	if n.module != nil {
--- /dev/null
+++ b/internal/simwire/simwire_test.go
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package simwire
+
+import (
+	"bufio"
+	"strings"
+	"testing"
+)
+
+const opening = "ROUND\tNow=1000000000\tbatch=1\nON\tWho=node/1\nNEW_INSTANCE\tInitSeed=7\tNews.Key=odd\tReplicasOfMe=2" +
+	"\tTick=4000000\tExtra.TellsStart=true\tLimits.MostPostings=3\tLimits.MayCancel=true\tSchemes.count=1" +
+	"\tSchemes.0.Idempotency=idempotent\tSchemes.0.SlaTime=100000000\tSchemes.0.Expiry=900000000\n" +
+	"UPDATE\tMode=stale_copy\tRevision=1\tMembersList=1\nITEM\tExecutor=10.0.0.1:80\tZone=0\tLifecycle=up\tNew=x\n" +
+	"COMMIT\n"
+
+const order = "ROUND\tNow=1004000000\tbatch=2\nON\tWho=node/1\n" +
+	"ORDER\tJob=a\tGrade=0\tGiveUpAt=1904000000\tStrange=1\nCOMMIT\n"
+
+func serve(t *testing.T, input string) (string, error) {
+	t.Helper()
+	var out strings.Builder
+	err := Serve(strings.NewReader(input), &out)
+	return out.String(), err
+}
+
+func TestRoundTrip(t *testing.T) {
+	out, err := serve(t, opening+order+
+		"ROUND\tNow=1008000000\tbatch=3\nON\tWho=node/1\nHINT_UPDATE\tJob=a\tTrial=0\tTopic=1\n"+
+		"REPORT_BACK\tJob=a\tEnded=1\tStatus=delivered\tTrial=0\tTimeTaken=4000000\n"+
+		"ABANDONED\tJob=a\nREPORT_BACK\tJob=a\tEnded=1\tStatus=revoked\tTrial=0\nWAKE\tCookie=999\nCOMMIT\n")
+	want := "YIELD\tbatch=1\nAT\tWho=node/1\nSET_ALARM\tCookie=1\tAfter=892000000\n" +
+		"TRY\tJob=a\tExecutor=10.0.0.1:80\tLimit=0\nSET_ALARM\tCookie=2\tAfter=16000000\nYIELD\tbatch=2\n"
+	if err != nil || !strings.HasPrefix(out, want) || !strings.HasSuffix(out, "YIELD\tbatch=3\n") {
+		t.Fatalf("%v\n%s", err, out)
+	}
+}
+
+func TestFinalAnswerOfRemovedFleet(t *testing.T) {
+	out, err := serve(t, opening+"ROUND\tNow=1002000000\tbatch=9\nON\tWho=node/1\n"+
+		"UPDATE\tMode=patch\tMembersList=1\nITEM\tExecutor=10.0.0.1:80\tLifecycle=removed\nCOMMIT\n"+order+
+		"ROUND\tNow=1896000000\tbatch=3\nON\tWho=node/1\nWAKE\tCookie=1\nWAKE\tCookie=1\nCOMMIT\n")
+	if err != nil || strings.Count(out, "NOT_NOW\tJob=a") != 1 || strings.Contains(out, "TRY") {
+		t.Fatalf("%v\n%s", err, out)
+	}
+}
+
+func TestKillAndRestart(t *testing.T) {
+	out, err := serve(t, opening+order+"ROUND\tNow=1006000000\tbatch=3\nON\tWho=node/1\nKILL\nCOMMIT\n"+
+		strings.Replace(opening, "Now=1000000000", "Now=1010000000", 1)+
+		"ROUND\tNow=1012000000\tbatch=5\nON\tWho=node/1\nWAKE\tCookie=2\nREPORT_BACK\tJob=a\tStatus=delivered\tTrial=0\nCOMMIT\n")
+	if err != nil || !strings.HasSuffix(out, "YIELD\tbatch=5\n") {
+		t.Fatalf("%v\n%s", err, out)
+	}
+}
+
+func TestMalformedIsSaidWithItsLine(t *testing.T) {
+	for name, c := range map[string]struct{ input, want string }{
+		"unknown message": {opening + "ROUND\tNow=5\tbatch=2\nON\tWho=node/1\nHOWDY\tX=1\n", "line 9: unknown message"},
+		"missing field":   {opening + "ROUND\tNow=5\tbatch=2\nON\tWho=node/1\nORDER\tJob=a\tGrade=0\n", "line 9: ORDER: field GiveUpAt"},
+		"not a number":    {"ROUND\tNow=soon\tbatch=1\n", "line 1: ROUND: field Now"},
+		"no instance":     {"ROUND\tNow=5\tbatch=1\nORDER\tJob=a\n", "line 2: ORDER with no instance"},
+		"short list":      {strings.Replace(opening, "MembersList=1", "MembersList=2", 1), "line 6: COMMIT where 1 more"},
+		"unknown scheme":  {opening + strings.Replace(order, "Grade=0", "Grade=7", 1), "line 9: ORDER: no scheme 7"},
+		"unknown status":  {opening + order + "ROUND\tNow=2\tbatch=3\nON\tWho=node/1\nREPORT_BACK\tJob=a\tTrial=0\tStatus=fine\n", "unknown status"},
+		"cut short":       {"ROUND\tNow=5\tbatch=1\n", "ends within a round"},
+	} {
+		if _, err := serve(t, c.input); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q", name, err, c.want)
+		}
+	}
+}
+
+func TestPanicIsReportedForItsInstanceAlone(t *testing.T) {
+	var out strings.Builder
+	s := &session{out: bufio.NewWriter(&out)}
+	n := &node{name: "node/1", session: s}
+	n.guard(func() { panic("index\tout") })
+	s.out.Flush()
+	if !n.dead || !strings.HasPrefix(out.String(), "AT\tWho=node/1\nCRASH\tText=index out") {
+		t.Fatal(out.String())
+	}
+}
