--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -132,6 +132,7 @@
 	queue   []*Txn
 	recent  map[family][]last
 	runs    []spread  // by scheme: running time over hint, or in seconds where there is no hint
+	jobs    spread    // seconds that jobs of all schemes ran
 	prompt  int64     // least time seen from sending to the note of the start; 0: none seen
 	sizes   []float64 // by kind: most slots seen at work in one executor
 	tenants []ledger  // arrivals
@@ -382,7 +383,7 @@
 // draw picks an executor: home zone before others where crossing has a price, crowded ones redrawn, then any
 // that has room. Nil: none has room now.
 func (d *Dispatcher) draw(t *Txn) (pick *Executor) {
-	run := d.running(t, 0.5)
+	run := int64(1e9 * d.jobs.at(0.75, 0))
 	var fit, sick []*Executor
 	for _, e := range d.fleet {
 		switch {
@@ -545,7 +546,9 @@
 			e.h, e.hAt = min(d.health(e)+reward, 1), d.now
 			d.rank(p, float64(took)/t.unit(), false)
 		}
-		d.runs[t.Scheme.Index].add(float64(d.now-max(p.sent, p.started)) / t.unit())
+		ran := float64(d.now - max(p.sent, p.started))
+		d.runs[t.Scheme.Index].add(ran / t.unit())
+		d.jobs.add(ran / 1e9)
 	case Erred, TimedOut, Undialed, Broken:
 		if !p.withdrawn {
 			d.blame(p)
