--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -22,9 +22,10 @@
 	leastH     = 0.1  // H under which an executor is left out; the design's
 	recovery   = 10e9 // ns; time constant of H on its way back to 1; the design's start
 	margin     = 1.0  // jobs over its fair part that make an executor crowded; the least that is not noise
-	leastRoom  = 0.1  // slots; bound of the in-flight limit; ten pauses as long as a job between two
+	leastRoom  = 0.25 // slots; bound of the in-flight limit; three pauses as long as a job between two
+	growth     = 0.25 // slots at a limit of one for a prompt start; with cut, one in three may wait where it is full
 	firstRoom  = 4.0  // slots in flight allowed before anything is known; a small machine's worth
-	cut        = 0.7  // share of the in-flight limit kept when a posting was seen to wait; the usual mild cut
+	cut        = 0.5  // share of the in-flight limit kept when a posting was seen to wait; the usual halving
 	overrun    = 2.0  // times the high end of measured running time that make a job overdue; clear of chance
 	highEnd    = 0.9  // quantile taken as high end; the histograms are too small to know more
 	missing    = 1.5  // progress periods without a note that mean standing still; one late note is no proof
@@ -132,7 +133,6 @@
 	queue   []*Txn
 	recent  map[family][]last
 	runs    []spread  // by scheme: running time over hint, or in seconds where there is no hint
-	jobs    spread    // seconds that jobs of all schemes ran
 	prompt  int64     // least time seen from sending to the note of the start; 0: none seen
 	sizes   []float64 // by kind: most slots seen at work in one executor
 	tenants []ledger  // arrivals
@@ -383,7 +383,7 @@
 // draw picks an executor: home zone before others where crossing has a price, crowded ones redrawn, then any
 // that has room. Nil: none has room now.
 func (d *Dispatcher) draw(t *Txn) (pick *Executor) {
-	run := int64(1e9 * d.jobs.at(0.75, 0))
+	run := d.running(t, 0.5)
 	var fit, sick []*Executor
 	for _, e := range d.fleet {
 		switch {
@@ -546,9 +546,7 @@
 			e.h, e.hAt = min(d.health(e)+reward, 1), d.now
 			d.rank(p, float64(took)/t.unit(), false)
 		}
-		ran := float64(d.now - max(p.sent, p.started))
-		d.runs[t.Scheme.Index].add(ran / t.unit())
-		d.jobs.add(ran / 1e9)
+		d.runs[t.Scheme.Index].add(float64(d.now-max(p.sent, p.started)) / t.unit())
 	case Erred, TimedOut, Undialed, Broken:
 		if !p.withdrawn {
 			d.blame(p)
@@ -613,7 +611,7 @@
 	e.atWork += t.Slots
 	d.sizes[e.kind] = max(d.sizes[e.kind], e.atWork)
 	if d.now-p.sent <= d.patience() && e.busy+1 >= e.limit {
-		e.limit += min(e.limit, 1)
+		e.limit += growth * min(e.limit, 1/e.limit)
 	}
 	// Tied copies: the first to start is kept, the others are still waiting and cost nothing to take back.
 	for _, q := range t.Postings {
