--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -380,8 +380,8 @@
 	return 4 * (d.terms.Tick + d.prompt)
 }
 
-// draw picks an executor: home zone before others where crossing has a price, crowded ones redrawn, then any
-// that has room. Nil: none has room now.
+// draw picks an executor: crowded ones are redrawn, then any that has room. Where crossing zones has a price the
+// home zone comes first, and others only once waiting for it risks as much. Nil: none has room now.
 func (d *Dispatcher) draw(t *Txn) (pick *Executor) {
 	run := d.running(t, 0.5)
 	var fit, sick []*Executor
@@ -397,8 +397,11 @@
 	if len(fit) == 0 {
 		fit = sick
 	}
-	for step := 0; step < 3 && pick == nil; step++ {
-		far := step > 0 || d.terms.CrossPrice == 0
+	for step := 0; step < 4 && pick == nil; step++ {
+		calm, far := step%2 == 0, step >= 2 || d.terms.CrossPrice == 0
+		if far && d.terms.CrossPrice > 0 && 1-d.onTime(t) < d.terms.CrossPrice/2 {
+			break
+		}
 		var busy, total, sum float64
 		for _, e := range fit {
 			if far || e.zone == d.terms.Zone {
@@ -407,7 +410,7 @@
 		}
 		for _, e := range fit {
 			weight := d.weight(e)
-			crowded := e.busy+t.Slots > e.limit || step < 2 && e.busy >= margin+busy*weight/total
+			crowded := e.busy+t.Slots > e.limit || calm && e.busy >= margin+busy*weight/total
 			if (far || e.zone == d.terms.Zone) && !d.waits(e, run) && (e.busy == 0 || !crowded) {
 				if sum += weight; d.chance.unit()*sum < weight {
 					pick = e
