--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -380,8 +380,8 @@
 	return 4 * (d.terms.Tick + d.prompt)
 }
 
-// draw picks an executor: crowded ones are redrawn, then any that has room. Where crossing zones has a price the
-// home zone comes first, and others only once waiting for it risks as much. Nil: none has room now.
+// draw picks an executor: crowded ones are redrawn, then any that has room; where crossing zones has a price, both
+// at home first. Nil: none has room now.
 func (d *Dispatcher) draw(t *Txn) (pick *Executor) {
 	run := d.running(t, 0.5)
 	var fit, sick []*Executor
@@ -399,9 +399,6 @@
 	}
 	for step := 0; step < 4 && pick == nil; step++ {
 		calm, far := step%2 == 0, step >= 2 || d.terms.CrossPrice == 0
-		if far && d.terms.CrossPrice > 0 && 1-d.onTime(t) < d.terms.CrossPrice/2 {
-			break
-		}
 		var busy, total, sum float64
 		for _, e := range fit {
 			if far || e.zone == d.terms.Zone {
