--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -133,6 +133,7 @@
 	queue   []*Txn
 	recent  map[family][]last
 	runs    []spread  // by scheme: running time over hint, or in seconds where there is no hint
+	home    spread    // seconds from arrival to start in the home zone
 	prompt  int64     // least time seen from sending to the note of the start; 0: none seen
 	sizes   []float64 // by kind: most slots seen at work in one executor
 	tenants []ledger  // arrivals
@@ -380,13 +381,13 @@
 	return 4 * (d.terms.Tick + d.prompt)
 }
 
-// tolerated is how long a posting may wait at its executor before that counts as too full: half its slack.
+// tolerated is how long a posting may wait at its executor before that counts as too full: a part of its slack.
 func (d *Dispatcher) tolerated(p *Posting) int64 {
-	return max(d.patience(), (p.Txn.aim-p.sent-d.running(p.Txn, highEnd))/2)
+	return max(d.patience(), (p.Txn.aim-p.sent-d.running(p.Txn, highEnd))/4)
 }
 
-// draw picks an executor: crowded ones are redrawn, then any that has room; where crossing zones has a price, both
-// at home first. Nil: none has room now.
+// draw picks an executor: crowded ones are redrawn, then any that has room. Where crossing zones has a price both
+// are at home, unless the usual wait there puts more than the price at risk. Nil: none has room now.
 func (d *Dispatcher) draw(t *Txn) (pick *Executor) {
 	run := d.running(t, 0.5)
 	var fit, sick []*Executor
@@ -404,6 +405,9 @@
 	}
 	for step := 0; step < 4 && pick == nil; step++ {
 		calm, far := step%2 == 0, step >= 2 || d.terms.CrossPrice == 0
+		if step == 2 && d.onTime(t, 0)-d.onTime(t, int64(1e9*d.home.at(highEnd, 0))) < d.terms.CrossPrice {
+			break
+		}
 		var busy, total, sum float64
 		for _, e := range fit {
 			if far || e.zone == d.terms.Zone {
@@ -605,6 +609,9 @@
 	}
 	t, e := p.Txn, p.Executor
 	p.started, e.refused = d.now, 0
+	if e.zone == d.terms.Zone {
+		d.home.add(float64(d.now-t.arrived) / 1e9)
+	}
 	if d.prompt == 0 || d.now-p.sent < d.prompt {
 		d.prompt = d.now - p.sent
 	}
@@ -664,7 +671,7 @@
 
 // earns is the billing value a slot and second to be expected of a waiting txn; 0: give it up now.
 func (d *Dispatcher) earns(t *Txn) float64 {
-	part := d.onTime(t)
+	part := d.onTime(t, 0)
 	part += (1 - part) * t.Scheme.LateValue
 	if part < hopeless || d.now+d.running(t, 0.5) >= t.Expiry || d.now-t.arrived > 2*(t.aim-t.arrived) {
 		return 0
@@ -672,10 +679,10 @@
 	return part * t.value / t.size * d.favour(t.Scheme)
 }
 
-// onTime is the chance that a txn started now ends within its SLA time. Without a hint only a long job, whose
+// onTime is the chance that a txn started after a wait ends within its SLA time. Without a hint only a long job, whose
 // SLA time is stretched, makes up for its wait; with one a fast executor does.
-func (d *Dispatcher) onTime(t *Txn) float64 {
-	room, runs := float64(t.arrived+t.Scheme.SlaTime-d.now), &d.runs[t.Scheme.Index]
+func (d *Dispatcher) onTime(t *Txn, wait int64) float64 {
+	room, runs := float64(t.arrived+t.Scheme.SlaTime-d.now-wait), &d.runs[t.Scheme.Index]
 	if t.Hint > 0 {
 		return runs.below(room/float64(t.Hint) + t.Scheme.Stretch)
 	}
