--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -23,7 +23,7 @@
 	recovery   = 10e9 // ns; time constant of H on its way back to 1; the design's start
 	margin     = 1.0  // jobs over its fair part that make an executor crowded; the least that is not noise
 	leastRoom  = 0.25 // slots; bound of the in-flight limit; three pauses as long as a job between two
-	growth     = 0.25 // slots at a limit of one for a prompt start; with cut, one in three may wait where it is full
+	growth     = 0.25 // slots for a prompt start, less under a limit of one; with cut, one in three may wait there
 	firstRoom  = 4.0  // slots in flight allowed before anything is known; a small machine's worth
 	cut        = 0.5  // share of the in-flight limit kept when a posting was seen to wait; the usual halving
 	overrun    = 2.0  // times the high end of measured running time that make a job overdue; clear of chance
@@ -133,7 +133,6 @@
 	queue   []*Txn
 	recent  map[family][]last
 	runs    []spread  // by scheme: running time over hint, or in seconds where there is no hint
-	home    spread    // seconds from arrival to start in the home zone
 	prompt  int64     // least time seen from sending to the note of the start; 0: none seen
 	sizes   []float64 // by kind: most slots seen at work in one executor
 	tenants []ledger  // arrivals
@@ -381,13 +380,8 @@
 	return 4 * (d.terms.Tick + d.prompt)
 }
 
-// tolerated is how long a posting may wait at its executor before that counts as too full: a part of its slack.
-func (d *Dispatcher) tolerated(p *Posting) int64 {
-	return max(d.patience(), (p.Txn.aim-p.sent-d.running(p.Txn, highEnd))/4)
-}
-
-// draw picks an executor: crowded ones are redrawn, then any that has room. Where crossing zones has a price both
-// are at home, unless the usual wait there puts more than the price at risk. Nil: none has room now.
+// draw picks an executor: crowded ones are redrawn, then any that has room; where crossing zones has a price, both
+// at home first. Nil: none has room now.
 func (d *Dispatcher) draw(t *Txn) (pick *Executor) {
 	run := d.running(t, 0.5)
 	var fit, sick []*Executor
@@ -405,9 +399,6 @@
 	}
 	for step := 0; step < 4 && pick == nil; step++ {
 		calm, far := step%2 == 0, step >= 2 || d.terms.CrossPrice == 0
-		if step == 2 && d.onTime(t, 0)-d.onTime(t, int64(1e9*d.home.at(highEnd, 0))) < d.terms.CrossPrice {
-			break
-		}
 		var busy, total, sum float64
 		for _, e := range fit {
 			if far || e.zone == d.terms.Zone {
@@ -448,7 +439,7 @@
 		d.awaitEnd(p, d.terms.Tick)
 		return
 	}
-	d.door.Alarm(d.tolerated(p), func() {
+	d.door.Alarm(d.patience(), func() {
 		if p.Open && p.started == 0 {
 			p.Executor.limit = max(cut*min(p.Executor.limit, p.Executor.busy), leastRoom)
 			d.awaitStart(p)
@@ -595,8 +586,13 @@
 	}
 	d.Left(t)
 	// Danger: a decline tells the client that trying again is harmless; where it might not be, reverse.
-	if s := t.Scheme; s.Effect == Repeatable || anchor(t) == nil || s.Effect == Referenced && s.Reach == ReachAll {
-		d.door.Decline(t, d.terms.MaxReturn)
+	s := t.Scheme
+	if s.Effect == Repeatable || anchor(t) == nil || s.Effect == Referenced && s.Reach == ReachAll {
+		var back int64
+		if d.terms.MayAdvise {
+			back = d.terms.MaxReturn
+		}
+		d.door.Decline(t, back)
 	} else {
 		d.door.Reverse(t)
 	}
@@ -609,16 +605,13 @@
 	}
 	t, e := p.Txn, p.Executor
 	p.started, e.refused = d.now, 0
-	if e.zone == d.terms.Zone {
-		d.home.add(float64(d.now-t.arrived) / 1e9)
-	}
 	if d.prompt == 0 || d.now-p.sent < d.prompt {
 		d.prompt = d.now - p.sent
 	}
 	e.atWork += t.Slots
 	d.sizes[e.kind] = max(d.sizes[e.kind], e.atWork)
-	if d.now-p.sent <= d.tolerated(p) && e.busy+1 >= e.limit {
-		e.limit += growth * min(e.limit, 1/e.limit)
+	if d.now-p.sent <= d.patience() && e.busy+1 >= e.limit {
+		e.limit += growth * min(e.limit, 1)
 	}
 	// Tied copies: the first to start is kept, the others are still waiting and cost nothing to take back.
 	for _, q := range t.Postings {
@@ -671,7 +664,7 @@
 
 // earns is the billing value a slot and second to be expected of a waiting txn; 0: give it up now.
 func (d *Dispatcher) earns(t *Txn) float64 {
-	part := d.onTime(t, 0)
+	part := d.onTime(t)
 	part += (1 - part) * t.Scheme.LateValue
 	if part < hopeless || d.now+d.running(t, 0.5) >= t.Expiry || d.now-t.arrived > 2*(t.aim-t.arrived) {
 		return 0
@@ -679,10 +672,10 @@
 	return part * t.value / t.size * d.favour(t.Scheme)
 }
 
-// onTime is the chance that a txn started after a wait ends within its SLA time. Without a hint only a long job, whose
+// onTime is the chance that a txn started now ends within its SLA time. Without a hint only a long job, whose
 // SLA time is stretched, makes up for its wait; with one a fast executor does.
-func (d *Dispatcher) onTime(t *Txn, wait int64) float64 {
-	room, runs := float64(t.arrived+t.Scheme.SlaTime-d.now-wait), &d.runs[t.Scheme.Index]
+func (d *Dispatcher) onTime(t *Txn) float64 {
+	room, runs := float64(t.arrived+t.Scheme.SlaTime-d.now), &d.runs[t.Scheme.Index]
 	if t.Hint > 0 {
 		return runs.below(room/float64(t.Hint) + t.Scheme.Stretch)
 	}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -56,7 +56,8 @@
 	MayCancel    bool
 	MayDuplicate bool
 	MayProbe     bool
-	MaxReturn    int64 // longest advice that a client follows; 0: give none
+	MayAdvise    bool
+	MaxReturn    int64 // longest advice that a client follows
 	DialTimeout  int64
 	CrossPrice   float64
 	WastePrice   float64
