--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -380,6 +380,11 @@
 	return 4 * (d.terms.Tick + d.prompt)
 }
 
+// tolerated is how long a posting may wait at its executor before that counts as too full: a part of its slack.
+func (d *Dispatcher) tolerated(p *Posting) int64 {
+	return max(d.patience(), (p.Txn.aim-p.sent-d.running(p.Txn, highEnd))/4)
+}
+
 // draw picks an executor: crowded ones are redrawn, then any that has room; where crossing zones has a price, both
 // at home first. Nil: none has room now.
 func (d *Dispatcher) draw(t *Txn) (pick *Executor) {
@@ -439,7 +444,7 @@
 		d.awaitEnd(p, d.terms.Tick)
 		return
 	}
-	d.door.Alarm(d.patience(), func() {
+	d.door.Alarm(d.tolerated(p), func() {
 		if p.Open && p.started == 0 {
 			p.Executor.limit = max(cut*min(p.Executor.limit, p.Executor.busy), leastRoom)
 			d.awaitStart(p)
@@ -588,11 +593,7 @@
 	// Danger: a decline tells the client that trying again is harmless; where it might not be, reverse.
 	s := t.Scheme
 	if s.Effect == Repeatable || anchor(t) == nil || s.Effect == Referenced && s.Reach == ReachAll {
-		var back int64
-		if d.terms.MayAdvise {
-			back = d.terms.MaxReturn
-		}
-		d.door.Decline(t, back)
+		d.door.Decline(t, d.terms.MaxReturn)
 	} else {
 		d.door.Reverse(t)
 	}
@@ -610,7 +611,7 @@
 	}
 	e.atWork += t.Slots
 	d.sizes[e.kind] = max(d.sizes[e.kind], e.atWork)
-	if d.now-p.sent <= d.patience() && e.busy+1 >= e.limit {
+	if d.now-p.sent <= d.tolerated(p) && e.busy+1 >= e.limit {
 		e.limit += growth * min(e.limit, 1)
 	}
 	// Tied copies: the first to start is kept, the others are still waiting and cost nothing to take back.
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -56,8 +56,7 @@
 	MayCancel    bool
 	MayDuplicate bool
 	MayProbe     bool
-	MayAdvise    bool
-	MaxReturn    int64 // longest advice that a client follows
+	MaxReturn    int64 // longest advice that a client follows; 0: give none
 	DialTimeout  int64
 	CrossPrice   float64
 	WastePrice   float64
--- a/internal/simwire/fields.go
+++ b/internal/simwire/fields.go
@@ -110,7 +110,7 @@
 		Subscribe: word("Discovery") == "subscribe", TellsStart: flag("Extra.TellsStart"),
 		Progress: f.wholeOr("Extra.Progress", 0), MostPostings: int(f.wholeOr("Limits.MostPostings", 1)),
 		MayCancel: flag("Limits.MayCancel"), MayDuplicate: flag("Limits.MayDuplicate"),
-		MayProbe: flag("Limits.MayProbe"), MayAdvise: flag("Limits.RetryAfter"),
+		MayProbe:  flag("Limits.MayProbe"),
 		MaxReturn: f.wholeOr("Limits.MaxRetryAfter", 0), DialTimeout: f.wholeOr("Limits.DialTimeout", 0),
 		CrossPrice: f.realOr("Prices.CrossZone", 0), WastePrice: f.realOr("Prices.Waste", 0),
 		DrainGrace: f.wholeOr("Rules.DrainGrace", 0), ColdShare: f.realOr("Rules.ColdShare", 0),
@@ -118,6 +118,9 @@
 		WorstScheme:  f.realOr("ScoreParts.WorstClass", 0) / max(f.realOr("ScoreParts.Whole", 1), 0.01),
 		FallMultiple: f.realOr("Rules.FallMultiple", 1), AskWithin: f.wholeOr("Rules.AskWithin", 1e9),
 	}
+	if !flag("Limits.RetryAfter") {
+		t.MaxReturn = 0
+	}
 	kinds := strings.Split(word("Extra.ClassKind"), ",")
 	stretches := strings.Split(word("Extra.ClassStretch"), ",")
 	priorities := strings.Split(word("Extra.ClassPriority"), ",")
