--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -29,7 +29,6 @@
 	overrun    = 2.0  // times the high end of measured running time that make a job overdue; clear of chance
 	highEnd    = 0.9  // quantile taken as high end; the histograms are too small to know more
 	missing    = 1.5  // progress periods without a note that mean standing still; one late note is no proof
-	firstRun   = 1.5  // running time over the hint until it was measured; a slow machine's
 	safety     = 0.7  // part of the cold budget that is used; speeds and hints are guesses
 	hopeless   = 0.5  // part of the billing value to be expected for a txn to wait on; an even chance
 	longest    = 2e9  // ns; bound of the pause after refusals in a row; a slow list's delay
@@ -245,11 +244,7 @@
 
 // running is how long the txn is expected to run, at quantile q.
 func (d *Dispatcher) running(t *Txn, q float64) int64 {
-	unknown := firstRun
-	if t.Hint == 0 {
-		unknown = float64(t.Scheme.SlaTime) / 1e9
-	}
-	return max(int64(t.unit()*d.runs[t.Scheme.Index].at(q, unknown)), 1e6)
+	return max(int64(t.unit()*d.runs[t.Scheme.Index].at(q, float64(t.Scheme.SlaTime)/t.unit())), 1e6)
 }
 
 // place posts the txn or lets it wait at the node.
@@ -475,7 +470,9 @@
 	if !p.Open || p.Txn.Over {
 		return
 	}
-	age, run, period := d.now-max(p.sent, p.started), d.running(p.Txn, highEnd), d.terms.Progress
+	// Danger: an old machine is overdue by a fast one's measure and is shut out when it is needed; so its own pace.
+	run := int64(float64(d.running(p.Txn, highEnd)) * max(p.Executor.pace.at(0.5, 1), 1))
+	age, period := d.now-max(p.sent, p.started), d.terms.Progress
 	still := period > 0 && d.now-max(p.told, p.started, p.sent) > int64(missing*float64(period))
 	nearlyDone := p.share > 0 && float64(age)*(1-p.share)/p.share < float64(run)
 	if still || age > int64(overrun*float64(run)) && !nearlyDone {
@@ -551,7 +548,9 @@
 			e.h, e.hAt = min(d.health(e)+reward, 1), d.now
 			d.rank(p, float64(took)/t.unit(), false)
 		}
-		d.runs[t.Scheme.Index].add(float64(d.now-max(p.sent, p.started)) / t.unit())
+		ran := float64(d.now - max(p.sent, p.started))
+		e.pace.add(ran / float64(d.running(t, 0.5)))
+		d.runs[t.Scheme.Index].add(ran / t.unit())
 	case Erred, TimedOut, Undialed, Broken:
 		if !p.withdrawn {
 			d.blame(p)
