--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -456,7 +456,8 @@
 	wait := (p.Txn.aim - run - d.now) / 2
 	// Danger: a copy of a job that would have been in time adds work to a fleet that is short of it.
 	if wait <= d.patience() {
-		if age > 2*run {
+		// Danger: a crowded executor taken for a dead one; only silence since the posting was sent counts.
+		if age > 2*run && p.Executor.heard <= p.sent {
 			d.blame(p)
 		}
 		d.copy(p)
@@ -470,9 +471,7 @@
 	if !p.Open || p.Txn.Over {
 		return
 	}
-	// Danger: an old machine is overdue by a fast one's measure and is shut out when it is needed; so its own pace.
-	run := int64(float64(d.running(p.Txn, highEnd)) * max(p.Executor.pace.at(0.5, 1), 1))
-	age, period := d.now-max(p.sent, p.started), d.terms.Progress
+	age, run, period := d.now-max(p.sent, p.started), d.running(p.Txn, highEnd), d.terms.Progress
 	still := period > 0 && d.now-max(p.told, p.started, p.sent) > int64(missing*float64(period))
 	nearlyDone := p.share > 0 && float64(age)*(1-p.share)/p.share < float64(run)
 	if still || age > int64(overrun*float64(run)) && !nearlyDone {
@@ -533,7 +532,7 @@
 // Ended takes the outcome of a posting; over says that the txn has ended by it or earlier.
 func (d *Dispatcher) Ended(p *Posting, o Outcome, took int64, over bool) {
 	t, e := p.Txn, p.Executor
-	if p.Open, e.idleAt = false, d.now; p.started > 0 {
+	if p.Open, e.idleAt, e.heard = false, d.now, d.now; p.started > 0 {
 		e.atWork -= t.Slots
 	}
 	e.busy -= t.Slots
@@ -548,9 +547,7 @@
 			e.h, e.hAt = min(d.health(e)+reward, 1), d.now
 			d.rank(p, float64(took)/t.unit(), false)
 		}
-		ran := float64(d.now - max(p.sent, p.started))
-		e.pace.add(ran / float64(d.running(t, 0.5)))
-		d.runs[t.Scheme.Index].add(ran / t.unit())
+		d.runs[t.Scheme.Index].add(float64(d.now-max(p.sent, p.started)) / t.unit())
 	case Erred, TimedOut, Undialed, Broken:
 		if !p.withdrawn {
 			d.blame(p)
@@ -604,7 +601,7 @@
 		return
 	}
 	t, e := p.Txn, p.Executor
-	p.started, e.refused = d.now, 0
+	p.started, e.heard, e.refused = d.now, d.now, 0
 	if d.prompt == 0 || d.now-p.sent < d.prompt {
 		d.prompt = d.now - p.sent
 	}
@@ -623,7 +620,9 @@
 }
 
 // Progress takes the note of the share done.
-func (d *Dispatcher) Progress(p *Posting, share float64) { p.share, p.told = share, d.now }
+func (d *Dispatcher) Progress(p *Posting, share float64) {
+	p.share, p.told, p.Executor.heard = share, d.now, d.now
+}
 
 // Settle ends a round of events: it places waiting txns, the worthiest first, and gives up those that can no
 // longer earn enough.
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -167,9 +167,9 @@
 	busy     float64 // slots of open postings
 	atWork   float64 // of these, slots of started ones
 	limit    float64
-	pace     spread // running times over the median of their scheme
-	idleAt   int64  // when the latest posting ended
-	refused  int64  // pause after the latest refusal in a row
+	heard    int64 // latest note or outcome from it
+	idleAt   int64 // when the latest posting ended
+	refused  int64 // pause after the latest refusal in a row
 	shutTill int64
 	sends    []charge
 }
