--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -456,9 +456,10 @@
 	wait := (p.Txn.aim - run - d.now) / 2
 	// Danger: a copy of a job that would have been in time adds work to a fleet that is short of it.
 	if wait <= d.patience() {
-		// Danger: a crowded executor taken for a dead one; only silence since the posting was sent counts.
+		// Danger: a crowded executor taken for a bad one and shut out when it is needed most. A hung one and one
+		// with a long queue look alike from here: both are passed over for a while, and H and score are left alone.
 		if age > 2*run && p.Executor.heard <= p.sent {
-			d.blame(p)
+			d.pause(p.Executor)
 		}
 		d.copy(p)
 		wait = max(age/2, d.patience())
@@ -493,6 +494,12 @@
 	}
 }
 
+// pause passes an executor over, twice as long each time until it starts a job again.
+func (d *Dispatcher) pause(e *Executor) {
+	e.refused = min(max(2*e.refused, 2*d.patience()), longest)
+	e.shutTill = d.now + e.refused
+}
+
 // blame counts a posting as lost at its executor, once.
 func (d *Dispatcher) blame(p *Posting) {
 	if e := p.Executor; !p.blamed {
@@ -553,11 +560,9 @@
 			d.blame(p)
 		}
 	case Full:
-		// Danger: an executor that turns all away at once looks idle and draws everything; it is passed over,
-		// twice as long for each refusal in a row.
+		// Danger: an executor that turns all away at once looks idle and draws everything.
 		e.limit = max(cut*min(e.limit, e.busy+t.Slots), leastRoom)
-		e.refused = min(max(2*e.refused, 2*d.patience()), longest)
-		e.shutTill = d.now + e.refused
+		d.pause(e)
 	}
 	if over {
 		d.Left(t)
