--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -452,17 +452,11 @@
 	if !p.Open || p.Txn.Over || p.started > 0 {
 		return
 	}
-	age, run := d.now-p.sent, d.running(p.Txn, highEnd)
-	wait := (p.Txn.aim - run - d.now) / 2
+	wait := (p.Txn.aim - d.running(p.Txn, highEnd) - d.now) / 2
 	// Danger: a copy of a job that would have been in time adds work to a fleet that is short of it.
 	if wait <= d.patience() {
-		// Danger: a crowded executor taken for a bad one and shut out when it is needed most. A hung one and one
-		// with a long queue look alike from here: both are passed over for a while, and H and score are left alone.
-		if age > 2*run && p.Executor.heard <= p.sent {
-			d.pause(p.Executor)
-		}
 		d.copy(p)
-		wait = max(age/2, d.patience())
+		wait = max((d.now-p.sent)/2, d.patience())
 	}
 	d.door.Alarm(wait, func() { d.awaitStart(p) })
 }
@@ -495,8 +489,8 @@
 }
 
 // pause passes an executor over, twice as long each time until it starts a job again.
-func (d *Dispatcher) pause(e *Executor) {
-	e.refused = min(max(2*e.refused, 2*d.patience()), longest)
+func (d *Dispatcher) pause(e *Executor, least int64) {
+	e.refused = min(max(2*e.refused, least), longest)
 	e.shutTill = d.now + e.refused
 }
 
@@ -562,7 +556,7 @@
 	case Full:
 		// Danger: an executor that turns all away at once looks idle and draws everything.
 		e.limit = max(cut*min(e.limit, e.busy+t.Slots), leastRoom)
-		d.pause(e)
+		d.pause(e, 2*d.patience())
 	}
 	if over {
 		d.Left(t)
@@ -582,6 +576,11 @@
 	if p.Open && !p.withdrawn && d.terms.MayCancel {
 		p.withdrawn = true
 		d.door.Withdraw(p)
+		// Danger: withdrawn work that waits may be run all the same; a slow executor then does nothing else. H and
+		// score are left alone: a hung executor and one with a long queue look alike from here.
+		if p.started == 0 && d.terms.TellsStart {
+			d.pause(p.Executor, d.now-p.sent)
+		}
 	}
 }
 
