--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -481,7 +481,8 @@
 
 // copy sends the txn of a late posting to a second executor that has room for it.
 func (d *Dispatcher) copy(p *Posting) {
-	if t := p.Txn; t.live() == 1 && len(t.Postings) < d.terms.MostPostings {
+	// Danger: copies in a full fleet take the room of txns that wait for it.
+	if t := p.Txn; len(d.queue) == 0 && t.live() == 1 && len(t.Postings) < d.terms.MostPostings {
 		if other := d.draw(t); other != nil {
 			d.post(t, other)
 		}
@@ -533,7 +534,7 @@
 // Ended takes the outcome of a posting; over says that the txn has ended by it or earlier.
 func (d *Dispatcher) Ended(p *Posting, o Outcome, took int64, over bool) {
 	t, e := p.Txn, p.Executor
-	if p.Open, e.idleAt, e.heard = false, d.now, d.now; p.started > 0 {
+	if p.Open, e.idleAt = false, d.now; p.started > 0 {
 		e.atWork -= t.Slots
 	}
 	e.busy -= t.Slots
@@ -576,8 +577,7 @@
 	if p.Open && !p.withdrawn && d.terms.MayCancel {
 		p.withdrawn = true
 		d.door.Withdraw(p)
-		// Danger: withdrawn work that waits may be run all the same; a slow executor then does nothing else. H and
-		// score are left alone: a hung executor and one with a long queue look alike from here.
+		// Danger: withdrawn work may run all the same, and a slow executor then does nothing else.
 		if p.started == 0 && d.terms.TellsStart {
 			d.pause(p.Executor, d.now-p.sent)
 		}
@@ -605,14 +605,16 @@
 		return
 	}
 	t, e := p.Txn, p.Executor
-	p.started, e.heard, e.refused = d.now, d.now, 0
+	p.started = d.now
 	if d.prompt == 0 || d.now-p.sent < d.prompt {
 		d.prompt = d.now - p.sent
 	}
 	e.atWork += t.Slots
 	d.sizes[e.kind] = max(d.sizes[e.kind], e.atWork)
-	if d.now-p.sent <= d.tolerated(p) && e.busy+1 >= e.limit {
-		e.limit += growth * min(e.limit, 1)
+	if d.now-p.sent <= d.tolerated(p) {
+		if e.refused = 0; e.busy+1 >= e.limit {
+			e.limit += growth * min(e.limit, 1)
+		}
 	}
 	// Tied copies: the first to start is kept, the others are still waiting and cost nothing to take back.
 	for _, q := range t.Postings {
@@ -624,9 +626,7 @@
 }
 
 // Progress takes the note of the share done.
-func (d *Dispatcher) Progress(p *Posting, share float64) {
-	p.share, p.told, p.Executor.heard = share, d.now, d.now
-}
+func (d *Dispatcher) Progress(p *Posting, share float64) { p.share, p.told = share, d.now }
 
 // Settle ends a round of events: it places waiting txns, the worthiest first, and gives up those that can no
 // longer earn enough.
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -167,7 +167,6 @@
 	busy     float64 // slots of open postings
 	atWork   float64 // of these, slots of started ones
 	limit    float64
-	heard    int64 // latest note or outcome from it
 	idleAt   int64 // when the latest posting ended
 	refused  int64 // pause after the latest refusal in a row
 	shutTill int64
