--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -362,7 +362,7 @@
 		return true
 	}
 	for _, p := range e.open {
-		if p.started == 0 && d.now-p.sent > d.patience() {
+		if p.started == 0 && d.now-p.sent > d.tolerated(p) {
 			return d.terms.TellsStart
 		}
 	}
