--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,28 +14,28 @@
 )
 
 const (
-	poolSize   = 50   // scores; the design's pool
-	topScore   = 10.0 // points; the design's first place, also what a mean score is divided by
-	unscored   = 0.5  // share of the top score for an executor without scores; the design's start
-	penalty    = 0.3  // factor on H for a time-out, failed connection or error; the design's
-	reward     = 0.15 // added to H by a success; the design's
-	leastH     = 0.1  // H under which an executor is left out; the design's
-	recovery   = 10e9 // ns; time constant of H on its way back to 1; the design's start
-	margin     = 1.0  // jobs over its fair part that make an executor crowded; the least that is not noise
-	leastRoom  = 0.25 // slots; bound of the in-flight limit; three pauses as long as a job between two
-	growth     = 0.25 // slots for a prompt start, less under a limit of one; with cut, one in three may wait there
-	firstRoom  = 4.0  // slots in flight allowed before anything is known; a small machine's worth
-	cut        = 0.5  // share of the in-flight limit kept when a posting was seen to wait; the usual halving
-	overrun    = 2.0  // times the high end of measured running time that make a job overdue; clear of chance
-	highEnd    = 0.9  // quantile taken as high end; the histograms are too small to know more
-	missing    = 1.5  // progress periods without a note that mean standing still; one late note is no proof
-	safety     = 0.7  // part of the cold budget that is used; speeds and hints are guesses
-	hopeless   = 0.5  // part of the billing value to be expected for a txn to wait on; an even chance
-	longest    = 2e9  // ns; bound of the pause after refusals in a row; a slow list's delay
-	schemeTime = 1e10 // ns; memory of what schemes were served; some times the longest wait
-	shareTime  = 3e9  // ns; memory of tenants' arrivals; shorter than a burst, longer than chance
-	overMark   = 1.3  // times the others' measure that a tenant may send; usage differs by tens of percent
-	halveAt    = 64   // entries at which a histogram is halved; some tens of seconds of a scheme's answers
+	poolSize   = 50    // scores; the design's pool
+	topScore   = 10.0  // points; the design's first place, also what a mean score is divided by
+	unscored   = 0.5   // share of the top score for an executor without scores; the design's start
+	penalty    = 0.3   // factor on H for a time-out, failed connection or error; the design's
+	reward     = 0.15  // added to H by a success; the design's
+	leastH     = 0.1   // H under which an executor is left out; the design's
+	recovery   = 10e9  // ns; time constant of H on its way back to 1; the design's start
+	margin     = 1.0   // jobs over its fair part that make an executor crowded; the least that is not noise
+	leastRoom  = 0.25  // slots; bound of the in-flight limit; three pauses as long as a job between two
+	growth     = 0.125 // of a machine's slots, by which a prompt start raises the limit; less under one slot
+	firstRoom  = 4.0   // slots in flight allowed before anything is known; a small machine's worth
+	cut        = 0.5   // share of the in-flight limit kept when a posting was seen to wait; the usual halving
+	overrun    = 2.0   // times the high end of measured running time that make a job overdue; clear of chance
+	highEnd    = 0.9   // quantile taken as high end; the histograms are too small to know more
+	missing    = 1.5   // progress periods without a note that mean standing still; one late note is no proof
+	safety     = 0.7   // part of the cold budget that is used; speeds and hints are guesses
+	hopeless   = 0.5   // part of the billing value to be expected for a txn to wait on; an even chance
+	longest    = 2e9   // ns; bound of the pause after refusals in a row; a slow list's delay
+	schemeTime = 1e10  // ns; memory of what schemes were served; some times the longest wait
+	shareTime  = 3e9   // ns; memory of tenants' arrivals; shorter than a burst, longer than chance
+	overMark   = 1.3   // times the others' measure that a tenant may send; usage differs by tens of percent
+	halveAt    = 64    // entries at which a histogram is halved; some tens of seconds of a scheme's answers
 )
 
 // places are the scores by rank; the design's start.
@@ -613,7 +613,7 @@
 	d.sizes[e.kind] = max(d.sizes[e.kind], e.atWork)
 	if d.now-p.sent <= d.tolerated(p) {
 		if e.refused = 0; e.busy+1 >= e.limit {
-			e.limit += growth * min(e.limit, 1)
+			e.limit += growth * d.sizes[e.kind] * min(e.limit, 1)
 		}
 	}
 	// Tied copies: the first to start is kept, the others are still waiting and cost nothing to take back.
