--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -200,6 +200,14 @@
 		t.value *= d.terms.OverValue
 	}
 	d.schemes[t.Scheme.Index].fade(d.now, schemeTime).asked += t.value
+	// Where terms allow few misses, each costs more than a late answer brings: decline while that is still early.
+	if d.terms.MissAllowed > 0 && d.terms.Punctual/(4*d.terms.MissAllowed) > t.Scheme.LateValue {
+		d.door.Alarm(t.aim-d.now-2*d.terms.Tick, func() {
+			if d.declinable(t) {
+				d.finish(t)
+			}
+		})
+	}
 	// Danger: a txn that is forgotten. This alarm answers it whatever else happens.
 	d.door.Alarm(t.Expiry-d.now-2*d.terms.Tick, func() { d.finish(t) })
 	d.enqueue(t)
@@ -584,15 +592,20 @@
 	}
 }
 
+// declinable says whether trying again is harmless.
+// Danger: an effect twice, by the client's hand.
+func (d *Dispatcher) declinable(t *Txn) bool {
+	return t.Scheme.Effect == Repeatable || anchor(t) == nil ||
+		t.Scheme.Effect == Referenced && t.Scheme.Reach == ReachAll
+}
+
 // finish gives the final answer that the rules allow.
 func (d *Dispatcher) finish(t *Txn) {
 	if t.Over {
 		return
 	}
 	d.Left(t)
-	// Danger: a decline tells the client that trying again is harmless; where it might not be, reverse.
-	s := t.Scheme
-	if s.Effect == Repeatable || anchor(t) == nil || s.Effect == Referenced && s.Reach == ReachAll {
+	if d.declinable(t) {
 		d.door.Decline(t, d.terms.MaxReturn)
 	} else {
 		d.door.Reverse(t)
