--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -203,7 +203,7 @@
 	// Where terms allow few misses, each costs more than a late answer brings: decline while that is still early.
 	if d.terms.MissAllowed > 0 && d.terms.Punctual/(4*d.terms.MissAllowed) > t.Scheme.LateValue {
 		d.door.Alarm(t.aim-d.now-2*d.terms.Tick, func() {
-			if d.declinable(t) {
+			if d.declinable(t) && !slices.ContainsFunc(t.Postings, func(p *Posting) bool { return p.started > 0 }) {
 				d.finish(t)
 			}
 		})
