--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,28 +14,28 @@
 )
 
 const (
-	poolSize   = 50    // scores; the design's pool
-	topScore   = 10.0  // points; the design's first place, also what a mean score is divided by
-	unscored   = 0.5   // share of the top score for an executor without scores; the design's start
-	penalty    = 0.3   // factor on H for a time-out, failed connection or error; the design's
-	reward     = 0.15  // added to H by a success; the design's
-	leastH     = 0.1   // H under which an executor is left out; the design's
-	recovery   = 10e9  // ns; time constant of H on its way back to 1; the design's start
-	margin     = 1.0   // jobs over its fair part that make an executor crowded; the least that is not noise
-	leastRoom  = 0.25  // slots; bound of the in-flight limit; three pauses as long as a job between two
-	growth     = 0.125 // of a machine's slots, by which a prompt start raises the limit; less under one slot
-	firstRoom  = 4.0   // slots in flight allowed before anything is known; a small machine's worth
-	cut        = 0.5   // share of the in-flight limit kept when a posting was seen to wait; the usual halving
-	overrun    = 2.0   // times the high end of measured running time that make a job overdue; clear of chance
-	highEnd    = 0.9   // quantile taken as high end; the histograms are too small to know more
-	missing    = 1.5   // progress periods without a note that mean standing still; one late note is no proof
-	safety     = 0.7   // part of the cold budget that is used; speeds and hints are guesses
-	hopeless   = 0.5   // part of the billing value to be expected for a txn to wait on; an even chance
-	longest    = 2e9   // ns; bound of the pause after refusals in a row; a slow list's delay
-	schemeTime = 1e10  // ns; memory of what schemes were served; some times the longest wait
-	shareTime  = 3e9   // ns; memory of tenants' arrivals; shorter than a burst, longer than chance
-	overMark   = 1.3   // times the others' measure that a tenant may send; usage differs by tens of percent
-	halveAt    = 64    // entries at which a histogram is halved; some tens of seconds of a scheme's answers
+	poolSize   = 50   // scores; the design's pool
+	topScore   = 10.0 // points; the design's first place, also what a mean score is divided by
+	unscored   = 0.5  // share of the top score for an executor without scores; the design's start
+	penalty    = 0.3  // factor on H for a time-out, failed connection or error; the design's
+	reward     = 0.15 // added to H by a success; the design's
+	leastH     = 0.1  // H under which an executor is left out; the design's
+	recovery   = 10e9 // ns; time constant of H on its way back to 1; the design's start
+	margin     = 1.0  // jobs over its fair part that make an executor crowded; the least that is not noise
+	leastRoom  = 0.25 // slots; bound of the in-flight limit; three pauses as long as a job between two
+	growth     = 0.25 // slots for a prompt start, less under a limit of one; with cut, one in three may wait there
+	firstRoom  = 4.0  // slots in flight allowed before anything is known; a small machine's worth
+	cut        = 0.5  // share of the in-flight limit kept when a posting was seen to wait; the usual halving
+	overrun    = 2.0  // times the high end of measured running time that make a job overdue; clear of chance
+	highEnd    = 0.9  // quantile taken as high end; the histograms are too small to know more
+	missing    = 1.5  // progress periods without a note that mean standing still; one late note is no proof
+	safety     = 0.7  // part of the cold budget that is used; speeds and hints are guesses
+	hopeless   = 0.5  // part of the billing value to be expected for a txn to wait on; an even chance
+	longest    = 2e9  // ns; bound of the pause after refusals in a row; a slow list's delay
+	schemeTime = 1e10 // ns; memory of what schemes were served; some times the longest wait
+	shareTime  = 3e9  // ns; memory of tenants' arrivals; shorter than a burst, longer than chance
+	overMark   = 1.3  // times the others' measure that a tenant may send; usage differs by tens of percent
+	halveAt    = 64   // entries at which a histogram is halved; some tens of seconds of a scheme's answers
 )
 
 // places are the scores by rank; the design's start.
@@ -200,14 +200,6 @@
 		t.value *= d.terms.OverValue
 	}
 	d.schemes[t.Scheme.Index].fade(d.now, schemeTime).asked += t.value
-	// Where terms allow few misses, each costs more than a late answer brings: decline while that is still early.
-	if d.terms.MissAllowed > 0 && d.terms.Punctual/(4*d.terms.MissAllowed) > t.Scheme.LateValue {
-		d.door.Alarm(t.aim-d.now-2*d.terms.Tick, func() {
-			if d.declinable(t) && !slices.ContainsFunc(t.Postings, func(p *Posting) bool { return p.started > 0 }) {
-				d.finish(t)
-			}
-		})
-	}
 	// Danger: a txn that is forgotten. This alarm answers it whatever else happens.
 	d.door.Alarm(t.Expiry-d.now-2*d.terms.Tick, func() { d.finish(t) })
 	d.enqueue(t)
@@ -444,7 +436,7 @@
 // watch sees to a posting's end once it runs, and before that, where executors tell, to its start.
 func (d *Dispatcher) watch(p *Posting) {
 	if p.started > 0 || !d.terms.TellsStart {
-		d.awaitEnd(p, d.terms.Tick)
+		d.awaitEnd(p)
 		return
 	}
 	d.door.Alarm(d.tolerated(p), func() {
@@ -469,22 +461,30 @@
 	d.door.Alarm(wait, func() { d.awaitStart(p) })
 }
 
-// awaitEnd decides what becomes of a posting that has run longer than a job should, or stands still.
-func (d *Dispatcher) awaitEnd(p *Posting, wait int64) {
+// awaitEnd decides what becomes of a posting that has run longer than a job should, or stands still. With a hint a
+// job beyond the high end speaks against its executor and is copied; without one it may just be a long job.
+func (d *Dispatcher) awaitEnd(p *Posting) {
 	if !p.Open || p.Txn.Over {
 		return
 	}
 	age, run, period := d.now-max(p.sent, p.started), d.running(p.Txn, highEnd), d.terms.Progress
 	still := period > 0 && d.now-max(p.told, p.started, p.sent) > int64(missing*float64(period))
 	nearlyDone := p.share > 0 && float64(age)*(1-p.share)/p.share < float64(run)
-	if still || age > int64(overrun*float64(run)) && !nearlyDone {
+	overdue := still || age > int64(overrun*float64(run)) && !nearlyDone
+	if overdue {
 		d.blame(p)
+	}
+	if overdue || p.Txn.Hint > 0 && age > run && !nearlyDone {
 		d.copy(p)
 	}
-	if wait = max(run/2, wait); period > 0 {
+	wait := run
+	if age < run {
+		wait = run - age
+	}
+	if period > 0 {
 		wait = min(wait, period)
 	}
-	d.door.Alarm(wait, func() { d.awaitEnd(p, 2*wait) })
+	d.door.Alarm(wait+d.terms.Tick, func() { d.awaitEnd(p) })
 }
 
 // copy sends the txn of a late posting to a second executor that has room for it.
@@ -592,20 +592,15 @@
 	}
 }
 
-// declinable says whether trying again is harmless.
-// Danger: an effect twice, by the client's hand.
-func (d *Dispatcher) declinable(t *Txn) bool {
-	return t.Scheme.Effect == Repeatable || anchor(t) == nil ||
-		t.Scheme.Effect == Referenced && t.Scheme.Reach == ReachAll
-}
-
 // finish gives the final answer that the rules allow.
 func (d *Dispatcher) finish(t *Txn) {
 	if t.Over {
 		return
 	}
 	d.Left(t)
-	if d.declinable(t) {
+	// Danger: a decline tells the client that trying again is harmless; where it might not be, reverse.
+	s := t.Scheme
+	if s.Effect == Repeatable || anchor(t) == nil || s.Effect == Referenced && s.Reach == ReachAll {
 		d.door.Decline(t, d.terms.MaxReturn)
 	} else {
 		d.door.Reverse(t)
@@ -626,7 +621,7 @@
 	d.sizes[e.kind] = max(d.sizes[e.kind], e.atWork)
 	if d.now-p.sent <= d.tolerated(p) {
 		if e.refused = 0; e.busy+1 >= e.limit {
-			e.limit += growth * d.sizes[e.kind] * min(e.limit, 1)
+			e.limit += growth * min(e.limit, 1)
 		}
 	}
 	// Tied copies: the first to start is kept, the others are still waiting and cost nothing to take back.
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -60,8 +60,6 @@
 	DialTimeout  int64
 	CrossPrice   float64
 	WastePrice   float64
-	Punctual     float64 // weight of misses, over that of the whole
-	MissAllowed  float64 // share of misses that costs nothing; 0: misses have no weight
 	WorstScheme  float64 // weight of the scheme served worst, over that of the whole
 	DrainGrace   int64
 	ColdShare    float64
--- a/internal/simwire/fields.go
+++ b/internal/simwire/fields.go
@@ -104,7 +104,6 @@
 func decode(f *fields) *dispatch.Terms {
 	flag := func(name string) bool { v, _ := f.find(name); return v == "true" || v == "1" }
 	word := func(name string) string { v, _ := f.find(name); return v }
-	whole := max(f.realOr("ScoreParts.Whole", 1), 0.01)
 	t := &dispatch.Terms{
 		Zone: int(f.wholeOr("MyZone", 0)), Nodes: int(f.wholeOr("ReplicasOfMe", 1)), Tick: f.wholeOr("Tick", 1e6),
 		ByWork: word("BillingValueBasis") == "work", OverValue: f.realOr("OverageBillingValue", 1),
@@ -116,8 +115,7 @@
 		CrossPrice: f.realOr("Prices.CrossZone", 0), WastePrice: f.realOr("Prices.Waste", 0),
 		DrainGrace: f.wholeOr("Rules.DrainGrace", 0), ColdShare: f.realOr("Rules.ColdShare", 0),
 		Cold: f.wholeOr("Rules.Cold", 0), Fall: f.wholeOr("Rules.Fall", 0),
-		WorstScheme: f.realOr("ScoreParts.WorstClass", 0) / whole,
-		Punctual:    f.realOr("ScoreParts.Punctual", 0) / whole, MissAllowed: f.realOr("ScoreParts.MissAllowed", 0),
+		WorstScheme:  f.realOr("ScoreParts.WorstClass", 0) / max(f.realOr("ScoreParts.Whole", 1), 0.01),
 		FallMultiple: f.realOr("Rules.FallMultiple", 1), AskWithin: f.wholeOr("Rules.AskWithin", 1e9),
 	}
 	if !flag("Limits.RetryAfter") {
