--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -24,6 +24,7 @@
 	margin     = 1.0  // jobs over its fair part that make an executor crowded; the least that is not noise
 	leastRoom  = 0.25 // slots; bound of the in-flight limit; three pauses as long as a job between two
 	growth     = 0.25 // slots for a prompt start, less under a limit of one; with cut, one in three may wait there
+	leastHarm  = 0.05 // chance to be on time; a smaller loss is within the error of the histograms
 	firstRoom  = 4.0  // slots in flight allowed before anything is known; a small machine's worth
 	cut        = 0.5  // share of the in-flight limit kept when a posting was seen to wait; the usual halving
 	overrun    = 2.0  // times the high end of measured running time that make a job overdue; clear of chance
@@ -362,7 +363,7 @@
 		return true
 	}
 	for _, p := range e.open {
-		if p.started == 0 && d.now-p.sent > d.tolerated(p) {
+		if p.started == 0 && d.harmed(p) {
 			return d.terms.TellsStart
 		}
 	}
@@ -375,9 +376,10 @@
 	return 4 * (d.terms.Tick + d.prompt)
 }
 
-// tolerated is how long a posting may wait at its executor before that counts as too full: a part of its slack.
-func (d *Dispatcher) tolerated(p *Posting) int64 {
-	return max(d.patience(), (p.Txn.aim-p.sent-d.running(p.Txn, highEnd))/4)
+// harmed says whether a posting's wait at its executor has cost its chance to be on time as much as a crossing does.
+func (d *Dispatcher) harmed(p *Posting) bool {
+	return d.now-p.sent > d.patience() &&
+		d.onTime(p.Txn, p.sent)-d.onTime(p.Txn, d.now) > max(d.terms.CrossPrice, leastHarm)
 }
 
 // draw picks an executor: crowded ones are redrawn, then any that has room; where crossing zones has a price, both
@@ -436,15 +438,10 @@
 // watch sees to a posting's end once it runs, and before that, where executors tell, to its start.
 func (d *Dispatcher) watch(p *Posting) {
 	if p.started > 0 || !d.terms.TellsStart {
-		d.awaitEnd(p)
+		d.awaitEnd(p, d.terms.Tick)
 		return
 	}
-	d.door.Alarm(d.tolerated(p), func() {
-		if p.Open && p.started == 0 {
-			p.Executor.limit = max(cut*min(p.Executor.limit, p.Executor.busy), leastRoom)
-			d.awaitStart(p)
-		}
-	})
+	d.door.Alarm(d.patience()+d.terms.Tick, func() { d.awaitStart(p) })
 }
 
 // awaitStart decides what becomes of a posting that waits at its executor.
@@ -452,39 +449,35 @@
 	if !p.Open || p.Txn.Over || p.started > 0 {
 		return
 	}
+	if d.harmed(p) && !p.crowded {
+		p.crowded = true
+		p.Executor.limit = max(cut*min(p.Executor.limit, p.Executor.busy), leastRoom)
+	}
 	wait := (p.Txn.aim - d.running(p.Txn, highEnd) - d.now) / 2
 	// Danger: a copy of a job that would have been in time adds work to a fleet that is short of it.
 	if wait <= d.patience() {
 		d.copy(p)
 		wait = max((d.now-p.sent)/2, d.patience())
 	}
-	d.door.Alarm(wait, func() { d.awaitStart(p) })
+	d.door.Alarm(min(wait, 2*d.patience()), func() { d.awaitStart(p) })
 }
 
-// awaitEnd decides what becomes of a posting that has run longer than a job should, or stands still. With a hint a
-// job beyond the high end speaks against its executor and is copied; without one it may just be a long job.
-func (d *Dispatcher) awaitEnd(p *Posting) {
+// awaitEnd decides what becomes of a posting that has run longer than a job should, or stands still.
+func (d *Dispatcher) awaitEnd(p *Posting, wait int64) {
 	if !p.Open || p.Txn.Over {
 		return
 	}
 	age, run, period := d.now-max(p.sent, p.started), d.running(p.Txn, highEnd), d.terms.Progress
 	still := period > 0 && d.now-max(p.told, p.started, p.sent) > int64(missing*float64(period))
 	nearlyDone := p.share > 0 && float64(age)*(1-p.share)/p.share < float64(run)
-	overdue := still || age > int64(overrun*float64(run)) && !nearlyDone
-	if overdue {
+	if still || age > int64(overrun*float64(run)) && !nearlyDone {
 		d.blame(p)
-	}
-	if overdue || p.Txn.Hint > 0 && age > run && !nearlyDone {
 		d.copy(p)
 	}
-	wait := run
-	if age < run {
-		wait = run - age
-	}
-	if period > 0 {
+	if wait = max(run/2, wait); period > 0 {
 		wait = min(wait, period)
 	}
-	d.door.Alarm(wait+d.terms.Tick, func() { d.awaitEnd(p) })
+	d.door.Alarm(wait, func() { d.awaitEnd(p, 2*wait) })
 }
 
 // copy sends the txn of a late posting to a second executor that has room for it.
@@ -619,7 +612,7 @@
 	}
 	e.atWork += t.Slots
 	d.sizes[e.kind] = max(d.sizes[e.kind], e.atWork)
-	if d.now-p.sent <= d.tolerated(p) {
+	if !d.harmed(p) {
 		if e.refused = 0; e.busy+1 >= e.limit {
 			e.limit += growth * min(e.limit, 1)
 		}
@@ -675,7 +668,7 @@
 
 // earns is the billing value a slot and second to be expected of a waiting txn; 0: give it up now.
 func (d *Dispatcher) earns(t *Txn) float64 {
-	part := d.onTime(t)
+	part := d.onTime(t, d.now)
 	part += (1 - part) * t.Scheme.LateValue
 	if part < hopeless || d.now+d.running(t, 0.5) >= t.Expiry || d.now-t.arrived > 2*(t.aim-t.arrived) {
 		return 0
@@ -683,10 +676,10 @@
 	return part * t.value / t.size * d.favour(t.Scheme)
 }
 
-// onTime is the chance that a txn started now ends within its SLA time. Without a hint only a long job, whose
+// onTime is the chance that a txn started then ends within its SLA time. Without a hint only a long job, whose
 // SLA time is stretched, makes up for its wait; with one a fast executor does.
-func (d *Dispatcher) onTime(t *Txn) float64 {
-	room, runs := float64(t.arrived+t.Scheme.SlaTime-d.now), &d.runs[t.Scheme.Index]
+func (d *Dispatcher) onTime(t *Txn, start int64) float64 {
+	room, runs := float64(t.arrived+t.Scheme.SlaTime-start), &d.runs[t.Scheme.Index]
 	if t.Hint > 0 {
 		return runs.below(room/float64(t.Hint) + t.Scheme.Stretch)
 	}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -144,6 +144,7 @@
 	share               float64 // done, as last told
 	cold                bool
 	blamed, withdrawn   bool
+	crowded             bool   // its wait has cut the limit
 	unrun               bool   // proved not to have run
 	then                func() // what the outcome leads to
 }
