--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -24,7 +24,6 @@
 	margin     = 1.0  // jobs over its fair part that make an executor crowded; the least that is not noise
 	leastRoom  = 0.25 // slots; bound of the in-flight limit; three pauses as long as a job between two
 	growth     = 0.25 // slots for a prompt start, less under a limit of one; with cut, one in three may wait there
-	leastHarm  = 0.05 // chance to be on time; a smaller loss is within the error of the histograms
 	firstRoom  = 4.0  // slots in flight allowed before anything is known; a small machine's worth
 	cut        = 0.5  // share of the in-flight limit kept when a posting was seen to wait; the usual halving
 	overrun    = 2.0  // times the high end of measured running time that make a job overdue; clear of chance
@@ -363,7 +362,7 @@
 		return true
 	}
 	for _, p := range e.open {
-		if p.started == 0 && d.harmed(p) {
+		if p.started == 0 && d.now-p.sent > d.tolerated(p) {
 			return d.terms.TellsStart
 		}
 	}
@@ -376,10 +375,9 @@
 	return 4 * (d.terms.Tick + d.prompt)
 }
 
-// harmed says whether a posting's wait at its executor has cost its chance to be on time as much as a crossing does.
-func (d *Dispatcher) harmed(p *Posting) bool {
-	return d.now-p.sent > d.patience() &&
-		d.onTime(p.Txn, p.sent)-d.onTime(p.Txn, d.now) > max(d.terms.CrossPrice, leastHarm)
+// tolerated is how long a posting may wait at its executor before that counts as too full: a part of its slack.
+func (d *Dispatcher) tolerated(p *Posting) int64 {
+	return max(d.patience(), (p.Txn.aim-p.sent-d.running(p.Txn, highEnd))/4)
 }
 
 // draw picks an executor: crowded ones are redrawn, then any that has room; where crossing zones has a price, both
@@ -441,7 +439,12 @@
 		d.awaitEnd(p, d.terms.Tick)
 		return
 	}
-	d.door.Alarm(d.patience()+d.terms.Tick, func() { d.awaitStart(p) })
+	d.door.Alarm(d.tolerated(p), func() {
+		if p.Open && p.started == 0 {
+			p.Executor.limit = max(cut*min(p.Executor.limit, p.Executor.busy), leastRoom)
+			d.awaitStart(p)
+		}
+	})
 }
 
 // awaitStart decides what becomes of a posting that waits at its executor.
@@ -449,17 +452,13 @@
 	if !p.Open || p.Txn.Over || p.started > 0 {
 		return
 	}
-	if d.harmed(p) && !p.crowded {
-		p.crowded = true
-		p.Executor.limit = max(cut*min(p.Executor.limit, p.Executor.busy), leastRoom)
-	}
 	wait := (p.Txn.aim - d.running(p.Txn, highEnd) - d.now) / 2
 	// Danger: a copy of a job that would have been in time adds work to a fleet that is short of it.
 	if wait <= d.patience() {
 		d.copy(p)
 		wait = max((d.now-p.sent)/2, d.patience())
 	}
-	d.door.Alarm(min(wait, 2*d.patience()), func() { d.awaitStart(p) })
+	d.door.Alarm(wait, func() { d.awaitStart(p) })
 }
 
 // awaitEnd decides what becomes of a posting that has run longer than a job should, or stands still.
@@ -612,7 +611,7 @@
 	}
 	e.atWork += t.Slots
 	d.sizes[e.kind] = max(d.sizes[e.kind], e.atWork)
-	if !d.harmed(p) {
+	if d.now-p.sent <= d.tolerated(p) {
 		if e.refused = 0; e.busy+1 >= e.limit {
 			e.limit += growth * min(e.limit, 1)
 		}
@@ -668,7 +667,7 @@
 
 // earns is the billing value a slot and second to be expected of a waiting txn; 0: give it up now.
 func (d *Dispatcher) earns(t *Txn) float64 {
-	part := d.onTime(t, d.now)
+	part := d.onTime(t)
 	part += (1 - part) * t.Scheme.LateValue
 	if part < hopeless || d.now+d.running(t, 0.5) >= t.Expiry || d.now-t.arrived > 2*(t.aim-t.arrived) {
 		return 0
@@ -676,10 +675,10 @@
 	return part * t.value / t.size * d.favour(t.Scheme)
 }
 
-// onTime is the chance that a txn started then ends within its SLA time. Without a hint only a long job, whose
+// onTime is the chance that a txn started now ends within its SLA time. Without a hint only a long job, whose
 // SLA time is stretched, makes up for its wait; with one a fast executor does.
-func (d *Dispatcher) onTime(t *Txn, start int64) float64 {
-	room, runs := float64(t.arrived+t.Scheme.SlaTime-start), &d.runs[t.Scheme.Index]
+func (d *Dispatcher) onTime(t *Txn) float64 {
+	room, runs := float64(t.arrived+t.Scheme.SlaTime-d.now), &d.runs[t.Scheme.Index]
 	if t.Hint > 0 {
 		return runs.below(room/float64(t.Hint) + t.Scheme.Stretch)
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -170,7 +170,7 @@
 	w.end(w.open[0], Settled)
 	for range 12 {
 		w.arrive(0, 1, 1e8, 5e9)
-		w.pass(8e8)
+		w.pass(4e8)
 		for len(w.open) > 0 {
 			w.d.Started(w.open[0])
 			w.end(w.open[0], Settled)
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -144,7 +144,6 @@
 	share               float64 // done, as last told
 	cold                bool
 	blamed, withdrawn   bool
-	crowded             bool   // its wait has cut the limit
 	unrun               bool   // proved not to have run
 	then                func() // what the outcome leads to
 }
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -30,7 +30,7 @@
 		"REPORT_BACK\tJob=a\tEnded=1\tStatus=delivered\tTrial=0\tTimeTaken=4000000\n"+
 		"ABANDONED\tJob=a\nREPORT_BACK\tJob=a\tEnded=1\tStatus=revoked\tTrial=0\nWAKE\tCookie=999\nCOMMIT\n")
 	want := "YIELD\tbatch=1\nAT\tWho=node/1\nSET_ALARM\tCookie=1\tAfter=892000000\n" +
-		"TRY\tJob=a\tExecutor=10.0.0.1:80\tLimit=0\nSET_ALARM\tCookie=2\tAfter=20000000\nYIELD\tbatch=2\n"
+		"TRY\tJob=a\tExecutor=10.0.0.1:80\tLimit=0\nSET_ALARM\tCookie=2\tAfter=16000000\nYIELD\tbatch=2\n"
 	if err != nil || !strings.HasPrefix(out, want) || !strings.HasSuffix(out, "YIELD\tbatch=3\n") {
 		t.Fatalf("%v\n%s", err, out)
 	}
