--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -23,7 +23,7 @@
 	recovery   = 10e9 // ns; time constant of H on its way back to 1; the design's start
 	margin     = 1.0  // jobs over its fair part that make an executor crowded; the least that is not noise
 	leastRoom  = 0.25 // slots; bound of the in-flight limit; three pauses as long as a job between two
-	growth     = 0.25 // slots for a prompt start, less under a limit of one; with cut, one in three may wait there
+	growth     = 0.25 // slots for a prompt start, less under a limit of one; with cut, one in three may wait
 	firstRoom  = 4.0  // slots in flight allowed before anything is known; a small machine's worth
 	cut        = 0.5  // share of the in-flight limit kept when a posting was seen to wait; the usual halving
 	overrun    = 2.0  // times the high end of measured running time that make a job overdue; clear of chance
@@ -139,7 +139,6 @@
 	pumped  bool      // an alarm to look at the queue is out
 }
 
-// New starts the module of a node.
 func New(terms *Terms, seed uint64, door Door, now int64) *Dispatcher {
 	d := &Dispatcher{terms: terms, door: door, now: now, chance: pcg(seed), recent: map[family][]last{},
 		runs: make([]spread, len(terms.Schemes)), tenants: make([]ledger, len(terms.Tenants)),
@@ -150,7 +149,6 @@
 	return d
 }
 
-// At sets the clock.
 func (d *Dispatcher) At(now int64) { d.now = now }
 
 // List takes the list or changes to it; whole says that absent executors are gone.
@@ -184,7 +182,6 @@
 	d.door.Alarm(d.terms.AskWithin/8, func() { d.door.Watch(true) })
 }
 
-// Arrive takes a txn.
 func (d *Dispatcher) Arrive(t *Txn) {
 	t.arrived, t.over = d.now, d.overShare(t)
 	work := t.Hint
@@ -234,7 +231,7 @@
 	return 1 + d.terms.WorstScheme*all/max(own.asked, 1e-9)
 }
 
-// unit is what running times of the txn's scheme are measured in.
+// unit is what running times are measured in.
 func (t *Txn) unit() float64 {
 	if t.Hint > 0 {
 		return float64(t.Hint)
@@ -317,18 +314,14 @@
 // warmEnough keeps this node's part of a cold executor's budget.
 // Danger: a cold executor pushed over by all nodes together; each counts everything it sends, refused or not.
 func (d *Dispatcher) warmEnough(t *Txn, e *Executor) bool {
-	warmth := d.warmth(e)
-	if warmth == 1 {
-		return true
-	}
-	sum := t.size
+	sum, warmth := t.size, d.warmth(e)
 	for _, c := range e.sends {
 		if d.now-c.at <= d.terms.Fall {
 			sum += c.work
 		}
 	}
-	return sum <= safety*d.terms.FallMultiple*warmth*d.sizes[e.kind]*
-		float64(d.terms.Fall)/float64(max(d.terms.Nodes, 1))
+	part := safety * d.terms.FallMultiple * float64(d.terms.Fall) / float64(max(d.terms.Nodes, 1))
+	return warmth == 1 || sum <= part*warmth*d.sizes[e.kind]
 }
 
 // warmth is the share of its capacity that an executor has at least.
@@ -356,7 +349,7 @@
 
 // waits says whether the executor lets a posting wait for longer than a start takes, or has just refused one.
 func (d *Dispatcher) waits(e *Executor, run int64) bool {
-	// Danger: one posting from each of many nodes fills a small machine. A limit under one is kept by pausing.
+	// Danger: one posting from each of many nodes fills a small machine. Limits under one are kept by pausing.
 	pause := (1/min(e.limit, 1) - 1) * float64(run)
 	if d.now < e.shutTill || e.busy == 0 && float64(d.now-e.idleAt) < pause {
 		return true
@@ -371,17 +364,15 @@
 
 // patience is how long the note of a start is waited for.
 // Danger: measured from common delays it would grow with every jam, so that no limit ever fell.
-func (d *Dispatcher) patience() int64 {
-	return 4 * (d.terms.Tick + d.prompt)
-}
+func (d *Dispatcher) patience() int64 { return 4 * (d.terms.Tick + d.prompt) }
 
-// tolerated is how long a posting may wait at its executor before that counts as too full: a part of its slack.
+// tolerated is how long a posting may wait at its executor before that counts as full: a part of its slack.
 func (d *Dispatcher) tolerated(p *Posting) int64 {
 	return max(d.patience(), (p.Txn.aim-p.sent-d.running(p.Txn, highEnd))/4)
 }
 
-// draw picks an executor: crowded ones are redrawn, then any that has room; where crossing zones has a price, both
-// at home first. Nil: none has room now.
+// draw picks an executor: crowded ones are redrawn, then any that has room; where crossing zones has a price,
+// both at home first. Nil: none has room now.
 func (d *Dispatcher) draw(t *Txn) (pick *Executor) {
 	run := d.running(t, 0.5)
 	var fit, sick []*Executor
@@ -441,7 +432,7 @@
 	}
 	d.door.Alarm(d.tolerated(p), func() {
 		if p.Open && p.started == 0 {
-			p.Executor.limit = max(cut*min(p.Executor.limit, p.Executor.busy), leastRoom)
+			d.adjust(p.Executor, p.Executor.busy, false)
 			d.awaitStart(p)
 		}
 	})
@@ -489,6 +480,15 @@
 	}
 }
 
+// adjust moves the in-flight limit of an executor with so many slots in use, by how prompt a start was.
+func (d *Dispatcher) adjust(e *Executor, busy float64, prompt bool) {
+	if !prompt {
+		e.limit = max(cut*min(e.limit, busy), leastRoom)
+	} else if e.refused = 0; busy+1 >= e.limit {
+		e.limit += growth * min(e.limit, 1)
+	}
+}
+
 // pause passes an executor over, twice as long each time until it starts a job again.
 func (d *Dispatcher) pause(e *Executor, least int64) {
 	e.refused = min(max(2*e.refused, least), longest)
@@ -549,14 +549,18 @@
 			e.h, e.hAt = min(d.health(e)+reward, 1), d.now
 			d.rank(p, float64(took)/t.unit(), false)
 		}
-		d.runs[t.Scheme.Index].add(float64(d.now-max(p.sent, p.started)) / t.unit())
+		ran := d.now - max(p.sent, p.started)
+		if high := d.running(t, highEnd); !d.terms.TellsStart && (ran <= high || ran > 2*high) {
+			d.adjust(e, e.busy+t.Slots, ran <= high)
+		}
+		d.runs[t.Scheme.Index].add(float64(ran) / t.unit())
 	case Erred, TimedOut, Undialed, Broken:
 		if !p.withdrawn {
 			d.blame(p)
 		}
 	case Full:
 		// Danger: an executor that turns all away at once looks idle and draws everything.
-		e.limit = max(cut*min(e.limit, e.busy+t.Slots), leastRoom)
+		d.adjust(e, e.busy+t.Slots, false)
 		d.pause(e, 2*d.patience())
 	}
 	if over {
@@ -612,9 +616,7 @@
 	e.atWork += t.Slots
 	d.sizes[e.kind] = max(d.sizes[e.kind], e.atWork)
 	if d.now-p.sent <= d.tolerated(p) {
-		if e.refused = 0; e.busy+1 >= e.limit {
-			e.limit += growth * min(e.limit, 1)
-		}
+		d.adjust(e, e.busy, true)
 	}
 	// Tied copies: the first to start is kept, the others are still waiting and cost nothing to take back.
 	for _, q := range t.Postings {
@@ -625,7 +627,6 @@
 	d.watch(p)
 }
 
-// Progress takes the note of the share done.
 func (d *Dispatcher) Progress(p *Posting, share float64) { p.share, p.told = share, d.now }
 
 // Settle ends a round of events: it places waiting txns, the worthiest first, and gives up those that can no
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -2,7 +2,10 @@
 
 package dispatch
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 // FuzzRules drives the module through random legal histories; every action is held against the four rules.
 func FuzzRules(f *testing.F) {
@@ -181,6 +184,73 @@
 	}
 }
 
+// An executor that runs withdrawn work all the same must not be fed with more of it.
+func TestWithdrawnWorkPauses(t *testing.T) {
+	w := newWorld(t, 1, basicTerms())
+	w.join(2, false)
+	jammed, sent := w.fleet[0].Executor, 0
+	for range 60 {
+		w.arrive(0, 1, 1e7, 5e9)
+		for range 10 {
+			for _, p := range slices.Clone(w.open) {
+				if p.withdrawn {
+					w.end(p, Revoked)
+				} else if p.Executor != jammed {
+					w.d.Started(p)
+					w.end(p, Settled)
+				}
+			}
+			w.pass(1e8)
+		}
+	}
+	for _, x := range w.txns {
+		for _, p := range x.Postings {
+			if p.Executor == jammed {
+				sent++
+			}
+		}
+	}
+	if sent > 40 {
+		t.Fatalf("%d of 60 txns went to an executor that starts nothing", sent)
+	}
+}
+
+// Copies must not take the room of txns that wait for it.
+func TestNoCopiesIntoFullFleet(t *testing.T) {
+	w := newWorld(t, 1, basicTerms())
+	w.join(2, false)
+	for range 30 {
+		w.arrive(0, 1, 1e8, 5e9)
+	}
+	waiting := len(w.d.queue)
+	w.pass(6e8)
+	for _, x := range w.txns {
+		if len(x.Postings) > 1 {
+			t.Fatalf("a copy went out while %d txns waited", waiting)
+		}
+	}
+}
+
+// Without start notes a limit must rise by answers in good time, or a single node cannot fill its fleet.
+func TestLimitsRiseWithoutStartNotes(t *testing.T) {
+	terms := basicTerms()
+	terms.TellsStart = false
+	w := newWorld(t, 1, terms)
+	w.join(1, false)
+	for range 60 {
+		for range 4 {
+			w.arrive(0, 1, 1e8, 5e9)
+		}
+		w.pass(1e8)
+		for len(w.open) > 0 {
+			w.end(w.open[0], Settled)
+		}
+	}
+	if e := w.fleet[0].Executor; e.limit < firstRoom+1 {
+		t.Fatalf("limit is %v", e.limit)
+	}
+}
+
 // A burst of one tenant must not count as within its share; even traffic must.
 func TestOverShare(t *testing.T) {
 	terms := basicTerms()
