Let a limit fall to this node's part of one slot

Cause: a floor of a quarter slot is four slots a machine for 16 nodes. Told from slow or dead machines by equal lateness on all and no refusals.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -22,7 +22,6 @@
 	leastH     = 0.1  // H under which an executor is left out; the design's
 	recovery   = 10e9 // ns; time constant of H on its way back to 1; the design's start
 	margin     = 1.0  // jobs over its fair part that make an executor crowded; the least that is not noise
-	leastRoom  = 0.25 // slots; bound of the in-flight limit; three pauses as long as a job between two
 	growth     = 0.25 // slots for a prompt start, less under a limit of one; with cut, one in three may wait
 	firstRoom  = 4.0  // slots in flight allowed before anything is known; a small machine's worth
 	cut        = 0.5  // share of the in-flight limit kept when a posting was seen to wait; the usual halving
@@ -480,10 +479,11 @@
 	}
 }
 
-// adjust moves the in-flight limit of an executor with so many slots in use, by how prompt a start was.
+// adjust moves the in-flight limit of an executor with so many slots in use, by how prompt a start was; at the
+// least one slot stays for all nodes together.
 func (d *Dispatcher) adjust(e *Executor, busy float64, prompt bool) {
 	if !prompt {
-		e.limit = max(cut*min(e.limit, busy), leastRoom)
+		e.limit = max(cut*min(e.limit, busy), 1/float64(max(d.terms.Nodes, 1)))
 	} else if e.refused = 0; busy+1 >= e.limit {
 		e.limit += growth * min(e.limit, 1)
 	}
