--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -347,9 +347,9 @@
 }
 
 // waits says whether the executor lets a posting wait for longer than a start takes, or has just refused one.
-func (d *Dispatcher) waits(e *Executor, run int64) bool {
+func (d *Dispatcher) waits(e *Executor) bool {
 	// Danger: one posting from each of many nodes fills a small machine. Limits under one are kept by pausing.
-	pause := (1/min(e.limit, 1) - 1) * float64(run)
+	pause := (1/min(e.limit, 1) - 1) * float64(e.latest)
 	if d.now < e.shutTill || e.busy == 0 && float64(d.now-e.idleAt) < pause {
 		return true
 	}
@@ -373,7 +373,6 @@
 // draw picks an executor: crowded ones are redrawn, then any that has room; where crossing zones has a price,
 // both at home first. Nil: none has room now.
 func (d *Dispatcher) draw(t *Txn) (pick *Executor) {
-	run := d.running(t, 0.5)
 	var fit, sick []*Executor
 	for _, e := range d.fleet {
 		switch {
@@ -398,7 +397,7 @@
 		for _, e := range fit {
 			weight := d.weight(e)
 			crowded := e.busy+t.Slots > e.limit || calm && e.busy >= margin+busy*weight/total
-			if (far || e.zone == d.terms.Zone) && !d.waits(e, run) && (e.busy == 0 || !crowded) {
+			if (far || e.zone == d.terms.Zone) && !d.waits(e) && (e.busy == 0 || !crowded) {
 				if sum += weight; d.chance.unit()*sum < weight {
 					pick = e
 				}
@@ -534,8 +533,8 @@
 // Ended takes the outcome of a posting; over says that the txn has ended by it or earlier.
 func (d *Dispatcher) Ended(p *Posting, o Outcome, took int64, over bool) {
 	t, e := p.Txn, p.Executor
-	if p.Open, e.idleAt = false, d.now; p.started > 0 {
-		e.atWork -= t.Slots
+	if p.Open, e.idleAt, e.latest = false, d.now, d.running(t, 0.5); p.started > 0 {
+		e.atWork, e.latest = e.atWork-t.Slots, d.now-p.started
 	}
 	e.busy -= t.Slots
 	e.open = slices.DeleteFunc(e.open, func(q *Posting) bool { return q == p })
