--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -37,8 +37,7 @@
 	halveAt    = 64   // entries at which a histogram is halved; some tens of seconds of a scheme's answers
 )
 
-// places are the scores by rank; the design's start.
-var places = [3]uint8{10, 6, 2}
+var places = [3]uint8{10, 6, 2} // scores by rank; the design's start
 
 // spread is a small histogram over ratios or seconds, two bins a doubling from 1/256 upwards.
 type spread struct {
@@ -201,8 +200,7 @@
 	d.enqueue(t)
 }
 
-// overShare tells by chance whether a txn lies beyond its tenant's share, by how far the tenant's arrivals
-// exceed what the other tenants' say of this node's traffic. It orders the queue, no more.
+// overShare tells by chance whether a txn lies beyond its tenant's share, by the other tenants' arrivals here.
 func (d *Dispatcher) overShare(t *Txn) bool {
 	if t.Tenant < 0 || t.Tenant >= len(d.terms.Tenants) {
 		return false
@@ -347,9 +345,9 @@
 }
 
 // waits says whether the executor lets a posting wait for longer than a start takes, or has just refused one.
-func (d *Dispatcher) waits(e *Executor) bool {
-	// Danger: one posting from each of many nodes fills a small machine. Limits under one are kept by pausing.
-	pause := (1/min(e.limit, 1) - 1) * float64(e.latest)
+func (d *Dispatcher) waits(e *Executor, run int64) bool {
+	// Danger: one posting from each of many nodes fills a small machine. A limit under one is a pause.
+	pause := (1/min(e.limit, 1) - 1) * float64(run)
 	if d.now < e.shutTill || e.busy == 0 && float64(d.now-e.idleAt) < pause {
 		return true
 	}
@@ -373,6 +371,7 @@
 // draw picks an executor: crowded ones are redrawn, then any that has room; where crossing zones has a price,
 // both at home first. Nil: none has room now.
 func (d *Dispatcher) draw(t *Txn) (pick *Executor) {
+	run := d.running(t, 0.5)
 	var fit, sick []*Executor
 	for _, e := range d.fleet {
 		switch {
@@ -397,7 +396,7 @@
 		for _, e := range fit {
 			weight := d.weight(e)
 			crowded := e.busy+t.Slots > e.limit || calm && e.busy >= margin+busy*weight/total
-			if (far || e.zone == d.terms.Zone) && !d.waits(e) && (e.busy == 0 || !crowded) {
+			if (far || e.zone == d.terms.Zone) && !d.waits(e, run) && (e.busy == 0 || !crowded) {
 				if sum += weight; d.chance.unit()*sum < weight {
 					pick = e
 				}
@@ -436,11 +435,15 @@
 	})
 }
 
-// awaitStart decides what becomes of a posting that waits at its executor.
+// awaitStart decides what becomes of a posting that waits at its executor, as if the txn waited here.
 func (d *Dispatcher) awaitStart(p *Posting) {
 	if !p.Open || p.Txn.Over || p.started > 0 {
 		return
 	}
+	if p.Txn.Scheme.Effect == Repeatable && d.earns(p.Txn) <= 0 {
+		d.finish(p.Txn)
+		return
+	}
 	wait := (p.Txn.aim - d.running(p.Txn, highEnd) - d.now) / 2
 	// Danger: a copy of a job that would have been in time adds work to a fleet that is short of it.
 	if wait <= d.patience() {
@@ -478,8 +481,7 @@
 	}
 }
 
-// adjust moves the in-flight limit of an executor with so many slots in use, by how prompt a start was; at the
-// least one slot stays for all nodes together.
+// adjust moves an executor's in-flight limit by how prompt a start was; one slot stays for all nodes.
 func (d *Dispatcher) adjust(e *Executor, busy float64, prompt bool) {
 	if !prompt {
 		e.limit = max(cut*min(e.limit, busy), 1/float64(max(d.terms.Nodes, 1)))
@@ -533,8 +535,8 @@
 // Ended takes the outcome of a posting; over says that the txn has ended by it or earlier.
 func (d *Dispatcher) Ended(p *Posting, o Outcome, took int64, over bool) {
 	t, e := p.Txn, p.Executor
-	if p.Open, e.idleAt, e.latest = false, d.now, d.running(t, 0.5); p.started > 0 {
-		e.atWork, e.latest = e.atWork-t.Slots, d.now-p.started
+	if p.Open, e.idleAt = false, d.now; p.started > 0 {
+		e.atWork -= t.Slots
 	}
 	e.busy -= t.Slots
 	e.open = slices.DeleteFunc(e.open, func(q *Posting) bool { return q == p })
@@ -628,8 +630,7 @@
 
 func (d *Dispatcher) Progress(p *Posting, share float64) { p.share, p.told = share, d.now }
 
-// Settle ends a round of events: it places waiting txns, the worthiest first, and gives up those that can no
-// longer earn enough.
+// Settle ends a round of events: it places waiting txns, the worthiest first, or gives them up.
 func (d *Dispatcher) Settle() {
 	waiting := d.queue
 	d.queue = nil
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -287,3 +287,29 @@
 		t.Fatalf("share below 0.1: %v, below 1: %v", lo, hi)
 	}
 }
+
+// Many nodes on small machines: the floor of the limit is this node's part of one slot.
+func TestLimitFloorFollowsNodes(t *testing.T) {
+	terms := basicTerms()
+	terms.Nodes = 20
+	w := newWorld(t, 1, terms)
+	w.join(1, false)
+	e := w.fleet[0].Executor
+	for range 20 {
+		w.d.adjust(e, 1, false)
+	}
+	if e.limit != 0.05 {
+		t.Fatalf("limit is %v", e.limit)
+	}
+}
+
+// A repeatable txn that waits at an executor beyond hope gets its decline then, not near expiry.
+func TestHopelessWaitIsDeclined(t *testing.T) {
+	w := newWorld(t, 1, basicTerms())
+	w.join(1, false)
+	x := w.arrive(0, 1, 1e8, 5e9)
+	w.pass(2e9)
+	if !x.Over || w.withdraw != 1 {
+		t.Fatal("still waiting after four times its SLA time")
+	}
+}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -168,7 +168,6 @@
 	atWork   float64 // of these, slots of started ones
 	limit    float64
 	idleAt   int64 // when the latest posting ended
-	latest   int64 // how long its job ran
 	refused  int64 // pause after the latest refusal in a row
 	shutTill int64
 	sends    []charge
