--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -559,10 +559,11 @@
 		if !p.withdrawn {
 			d.blame(p)
 		}
-	case Full:
-		// Danger: an executor that turns all away at once looks idle and draws everything.
+	}
+	if o == Full || o == Undialed {
+		// Danger: an executor that turns all away, or cannot be reached, looks idle and draws everything.
 		d.adjust(e, e.busy+t.Slots, false)
-		d.pause(e, 2*d.patience())
+		d.pause(e, 2*d.patience()+took)
 	}
 	if over {
 		d.Left(t)
@@ -604,7 +605,6 @@
 	}
 }
 
-// Started takes the note that a posting's job runs.
 func (d *Dispatcher) Started(p *Posting) {
 	if !p.Open || p.started > 0 {
 		return
