--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -344,10 +344,10 @@
 	return max(score, 0.01) * d.health(e) * d.warmth(e)
 }
 
-// room is the in-flight limit, a little higher for each running time since it was cut.
+// room is the in-flight limit, higher by a part for each running time since it was cut.
 // Danger: limits that only starts can raise keep machines empty that had one long job.
 func (d *Dispatcher) room(e *Executor, run int64) float64 {
-	return max(e.limit, min(e.limit+growth*float64(d.now-e.cutAt)/float64(run), firstRoom))
+	return max(e.limit, min(e.limit*(1+growth*float64(d.now-e.cutAt)/float64(run)), firstRoom))
 }
 
 // waits says whether the executor lets a posting wait for longer than a start takes, or has just refused one.
