--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -344,16 +344,10 @@
 	return max(score, 0.01) * d.health(e) * d.warmth(e)
 }
 
-// room is the in-flight limit, higher by a part for each running time since it was cut.
-// Danger: limits that only starts can raise keep machines empty that had one long job.
-func (d *Dispatcher) room(e *Executor, run int64) float64 {
-	return max(e.limit, min(e.limit*(1+growth*float64(d.now-e.cutAt)/float64(run)), firstRoom))
-}
-
 // waits says whether the executor lets a posting wait for longer than a start takes, or has just refused one.
 func (d *Dispatcher) waits(e *Executor, run int64) bool {
 	// Danger: one posting from each of many nodes fills a small machine. A limit under one is a pause.
-	pause := (1/min(d.room(e, run), 1) - 1) * float64(run)
+	pause := (1/min(e.limit, 1) - 1) * float64(run)
 	if d.now < e.shutTill || e.busy == 0 && float64(d.now-e.idleAt) < pause {
 		return true
 	}
@@ -401,7 +395,7 @@
 		}
 		for _, e := range fit {
 			weight := d.weight(e)
-			crowded := e.busy+t.Slots > d.room(e, run) || calm && e.busy >= margin+busy*weight/total
+			crowded := e.busy+t.Slots > e.limit || calm && e.busy >= margin+busy*weight/total
 			if (far || e.zone == d.terms.Zone) && !d.waits(e, run) && (e.busy == 0 || !crowded) {
 				if sum += weight; d.chance.unit()*sum < weight {
 					pick = e
@@ -490,9 +484,17 @@
 // adjust moves an executor's in-flight limit by how prompt a start was; one slot stays for all nodes.
 func (d *Dispatcher) adjust(e *Executor, busy float64, prompt bool) {
 	if !prompt {
-		e.limit, e.cutAt = max(cut*min(e.limit, busy), 1/float64(max(d.terms.Nodes, 1))), d.now
-	} else if e.refused = 0; busy+1 >= e.limit {
-		e.limit += growth * min(e.limit, 1)
+		e.limit = max(cut*min(e.limit, busy), 1/float64(max(d.terms.Nodes, 1)))
+		return
+	}
+	if e.refused = 0; busy+1 >= e.limit {
+		e.limit += growth / 2 * min(e.limit, 1)
+	}
+	// Danger: limits that only an executor's own starts raise keep machines empty that had one long job.
+	for _, x := range d.fleet {
+		if x.limit < firstRoom {
+			x.limit += growth / 2 * min(x.limit, 1) / float64(len(d.fleet))
+		}
 	}
 }
 
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -167,7 +167,6 @@
 	busy     float64 // slots of open postings
 	atWork   float64 // of these, slots of started ones
 	limit    float64
-	cutAt    int64 // when its limit was last cut
 	idleAt   int64 // when the latest posting ended
 	refused  int64 // pause after the latest refusal in a row
 	shutTill int64
