--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -182,10 +182,7 @@
 
 func (d *Dispatcher) Arrive(t *Txn) {
 	t.arrived, t.over = d.now, d.overShare(t)
-	work := t.Hint
-	if work == 0 {
-		work = d.running(t, 0.5)
-	}
+	work := cmp.Or(t.Hint, d.running(t, 0.5))
 	t.aim = min(d.now+t.Scheme.SlaTime+int64(t.Scheme.Stretch*float64(work)), t.Expiry)
 	t.size = max(t.Slots, 1) * float64(work)
 	if t.value = t.Scheme.Value; d.terms.ByWork {
@@ -216,7 +213,7 @@
 	return d.chance.unit()*own.asked*shares > overMark*(others+1)*d.terms.Tenants[t.Tenant].Share
 }
 
-// favour is what a txn of a scheme counts for over its value: more in the scheme served worst, by the terms.
+// favour is what a txn counts for over its value: more in the scheme served worst, by the terms.
 func (d *Dispatcher) favour(s *Scheme) float64 {
 	own, all := d.schemes[s.Index].fade(d.now, schemeTime), 0.0
 	for i := range d.schemes {
@@ -228,7 +225,6 @@
 	return 1 + d.terms.WorstScheme*all/max(own.asked, 1e-9)
 }
 
-// unit is what running times are measured in.
 func (t *Txn) unit() float64 {
 	if t.Hint > 0 {
 		return float64(t.Hint)
@@ -368,8 +364,7 @@
 	return max(d.patience(), (p.Txn.aim-p.sent-d.running(p.Txn, highEnd))/4)
 }
 
-// draw picks an executor: crowded ones are redrawn, then any that has room; where crossing zones has a price,
-// both at home first. Nil: none has room now.
+// draw picks an executor: crowded ones are redrawn, then any with room; at home first, where crossing has a price.
 func (d *Dispatcher) draw(t *Txn) (pick *Executor) {
 	run := d.running(t, 0.5)
 	var fit, sick []*Executor
@@ -406,7 +401,7 @@
 	return pick
 }
 
-// post sends the txn to the executor and leaves behind what its outcome leads to.
+// post sends the txn and leaves behind what its outcome leads to.
 func (d *Dispatcher) post(t *Txn, e *Executor) {
 	p := &Posting{Txn: t, Executor: e, Number: len(t.Postings), Open: true, sent: d.now}
 	t.Postings = append(t.Postings, p)
@@ -453,7 +448,7 @@
 	d.door.Alarm(wait, func() { d.awaitStart(p) })
 }
 
-// awaitEnd decides what becomes of a posting that has run longer than a job should, or stands still.
+// awaitEnd decides what becomes of a posting that runs too long or stands still.
 func (d *Dispatcher) awaitEnd(p *Posting, wait int64) {
 	if !p.Open || p.Txn.Over {
 		return
@@ -488,13 +483,11 @@
 		return
 	}
 	if e.refused = 0; busy+1 >= e.limit {
-		e.limit += growth / 2 * min(e.limit, 1)
+		e.limit += growth * min(e.limit, 1)
 	}
 	// Danger: limits that only an executor's own starts raise keep machines empty that had one long job.
 	for _, x := range d.fleet {
-		if x.limit < firstRoom {
-			x.limit += growth / 2 * min(x.limit, 1) / float64(len(d.fleet))
-		}
+		x.limit = max(x.limit, min(x.limit+growth/2*min(x.limit, 1)/float64(len(d.fleet)), firstRoom))
 	}
 }
 
@@ -504,7 +497,7 @@
 	e.shutTill = d.now + e.refused
 }
 
-// blame counts a posting as lost at its executor, once.
+// blame counts a posting as lost, once.
 func (d *Dispatcher) blame(p *Posting) {
 	if e := p.Executor; !p.blamed {
 		p.blamed, e.h, e.hAt = true, d.health(e)*penalty, d.now
@@ -578,7 +571,7 @@
 	p.then()
 }
 
-// Left stops all that is out for a txn that is answered, or whose client has gone.
+// Left ends a txn that is answered, or whose client has gone.
 func (d *Dispatcher) Left(t *Txn) {
 	t.Over = true
 	for _, p := range t.Postings {
@@ -612,7 +605,6 @@
 	}
 }
 
-// Started takes the note that a posting's job runs.
 func (d *Dispatcher) Started(p *Posting) {
 	if !p.Open || p.started > 0 {
 		return
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -319,3 +319,17 @@
 		t.Fatal("still waiting after four times its SLA time")
 	}
 }
+
+// One long job must not keep a machine empty for good: prompt starts elsewhere raise its limit as well.
+func TestPromptStartsElsewhereRaiseLimits(t *testing.T) {
+	w := newWorld(t, 1, basicTerms())
+	w.join(2, false)
+	e, other := w.fleet[0].Executor, w.fleet[1].Executor
+	e.limit = 0.5
+	for range 100 {
+		w.d.adjust(other, 0, true)
+	}
+	if e.limit <= 1 || e.limit > firstRoom || other.limit != firstRoom {
+		t.Fatalf("limits %v and %v", e.limit, other.limit)
+	}
+}
