--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -197,7 +197,7 @@
 	d.enqueue(t)
 }
 
-// overShare tells by chance whether a txn lies beyond its tenant's share, by the other tenants' arrivals here.
+// overShare tells by chance whether a txn lies beyond its tenant's share, by the other tenants' arrivals.
 func (d *Dispatcher) overShare(t *Txn) bool {
 	if t.Tenant < 0 || t.Tenant >= len(d.terms.Tenants) {
 		return false
@@ -364,7 +364,7 @@
 	return max(d.patience(), (p.Txn.aim-p.sent-d.running(p.Txn, highEnd))/4)
 }
 
-// draw picks an executor: crowded ones are redrawn, then any with room; at home first, where crossing has a price.
+// draw picks an executor: crowded ones are redrawn, then any with room; at home first where crossing costs.
 func (d *Dispatcher) draw(t *Txn) (pick *Executor) {
 	run := d.running(t, 0.5)
 	var fit, sick []*Executor
