--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -20,7 +20,7 @@
 		if terms&8 != 0 {
 			w.terms.CrossPrice, w.terms.Progress = 0.1, 0
 		}
-		w.join(1+int(seed%13), true)
+		w.join(int(seed%13), true)
 		for range 600 {
 			w.step()
 		}
@@ -36,14 +36,6 @@
 	})
 }
 
-func TestEmptyFleetStillAnswers(t *testing.T) {
-	w := newWorld(t, 1, basicTerms())
-	w.d.List(true, nil)
-	w.arrive(0, 1, 1e8, 2e9)
-	w.arrive(2, 1, 1e8, 1)
-	w.finish()
-}
-
 func TestHealth(t *testing.T) {
 	w := newWorld(t, 1, basicTerms())
 	w.join(1, false)
@@ -168,25 +160,22 @@
 	}
 }
 
-// In a jam start notes come late; the limits must fall all the same, below one a node if need be.
+// In a jam start notes come late; the limits must fall all the same, to a part of a slot for many nodes.
 func TestLimitFallsInJam(t *testing.T) {
 	w := newWorld(t, 1, basicTerms())
+	w.terms.Nodes = 20
 	w.join(1, false)
 	e := w.fleet[0].Executor
 	w.arrive(0, 1, 1e8, 5e9)
 	w.pass(8e6)
-	w.d.Started(w.open[0])
-	w.end(w.open[0], Settled)
+	w.settle()
 	for range 12 {
 		w.arrive(0, 1, 1e8, 5e9)
 		w.pass(4e8)
-		for len(w.open) > 0 {
-			w.d.Started(w.open[0])
-			w.end(w.open[0], Settled)
-		}
+		w.settle()
 	}
-	if e.limit >= 1 {
-		t.Fatalf("limit is still %v", e.limit)
+	if e.limit != 0.05 {
+		t.Fatalf("limit is %v, not this node's part of one slot", e.limit)
 	}
 }
 
@@ -209,11 +198,9 @@
 			w.pass(1e8)
 		}
 	}
-	for _, x := range w.txns {
-		for _, p := range x.Postings {
-			if p.Executor == jammed {
-				sent++
-			}
+	for p := range w.sentAt {
+		if p.Executor == jammed {
+			sent++
 		}
 	}
 	if sent > 25 {
@@ -294,21 +281,6 @@
 	}
 }
 
-// Many nodes on small machines: the floor of the limit is this node's part of one slot.
-func TestLimitFloorFollowsNodes(t *testing.T) {
-	terms := basicTerms()
-	terms.Nodes = 20
-	w := newWorld(t, 1, terms)
-	w.join(1, false)
-	e := w.fleet[0].Executor
-	for range 20 {
-		w.d.adjust(e, 1, false)
-	}
-	if e.limit != 0.05 {
-		t.Fatalf("limit is %v", e.limit)
-	}
-}
-
 // A repeatable txn that waits at an executor beyond hope gets its decline then, not near expiry.
 func TestHopelessWaitIsDeclined(t *testing.T) {
 	w := newWorld(t, 1, basicTerms())
@@ -333,3 +305,34 @@
 		t.Fatalf("limits %v and %v", e.limit, other.limit)
 	}
 }
+
+func TestColdBudget(t *testing.T) {
+	w := newWorld(t, 1, basicTerms())
+	w.join(1, false)
+	w.fleet[0].Since = w.now
+	w.list(true)
+	for range 8 {
+		w.arrive(0, 1, 1e8, 9e9)
+		w.settle()
+	}
+	if n := len(w.coldWork[w.fleet[0].Executor]); n != 4 {
+		t.Fatalf("%d postings of 0.1 s", n)
+	}
+}
+
+func TestReferencedStaysInItsGroup(t *testing.T) {
+	w := newWorld(t, 1, basicTerms())
+	w.join(4, false)
+	x := w.arrive(1, 1, 1e8, 9e9)
+	w.end(w.open[0], Broken)
+	if len(x.Postings) != 2 || x.Postings[0].Executor.cell != x.Postings[1].Executor.cell {
+		t.Fatal("not sent again within its cell")
+	}
+	w.pass(w.terms.Schemes[1].Memory)
+	for len(w.open) > 0 {
+		w.end(w.open[0], Broken)
+	}
+	if !x.Over || w.ended[x] != 1 {
+		t.Fatal("past its memory span it must be reversed at once")
+	}
+}
--- a/dispatch/helpers_test.go
+++ b/dispatch/helpers_test.go
@@ -24,7 +24,7 @@
 	sentAt   map[*Posting]int64
 	withdraw int
 	fleet    []*Member
-	stopped  map[*Executor]int64 // told since when that it drains or is gone
+	stopped  map[*Executor]bool // told that it drains or is gone
 	coldWork map[*Executor][]charge
 }
 
@@ -37,7 +37,7 @@
 
 func basicTerms() *Terms {
 	return &Terms{Nodes: 2, Tick: 4e6, TellsStart: true, Progress: 1e9, MostPostings: 4, MayCancel: true,
-		MayDuplicate: true, MaxReturn: 2e9, DrainGrace: 1e9, ColdShare: 0.2, Cold: 10e9, Fall: 2e9,
+		MayDuplicate: true, MaxReturn: 2e9, ColdShare: 0.2, Cold: 10e9, Fall: 2e9,
 		FallMultiple: 3, AskWithin: 8e9, Schemes: []*Scheme{
 			{SlaTime: 3e8, Stretch: 2, Value: 3, LateValue: 0.3, Kind: -1},
 			{Index: 1, SlaTime: 2e8, Stretch: 2, Value: 8, Kind: -1, Effect: Referenced, Reach: ReachCell, Memory: 3e9},
@@ -48,7 +48,7 @@
 
 func newWorld(t *testing.T, seed uint64, terms *Terms) *world {
 	w := &world{T: t, Rand: rand.New(rand.NewPCG(seed, 1)), terms: terms, now: 1e12, ended: map[*Txn]int{},
-		mayRun: map[*Posting]bool{}, sentAt: map[*Posting]int64{}, stopped: map[*Executor]int64{},
+		mayRun: map[*Posting]bool{}, sentAt: map[*Posting]int64{}, stopped: map[*Executor]bool{},
 		coldWork: map[*Executor][]charge{}}
 	w.d = New(terms, seed, w, w.now)
 	return w
@@ -69,12 +69,7 @@
 func (w *world) list(whole bool) {
 	var members []Member
 	for _, m := range w.fleet {
-		_, stopped := w.stopped[m.Executor]
-		if m.State == Up {
-			delete(w.stopped, m.Executor)
-		} else if !stopped {
-			w.stopped[m.Executor] = w.now
-		}
+		w.stopped[m.Executor] = m.State != Up
 		if !whole || m.State != Gone {
 			members = append(members, *m)
 		}
@@ -94,7 +89,7 @@
 	case p.Number >= w.terms.MostPostings:
 		w.Fatal("more postings than the terms allow")
 	}
-	if at, stopped := w.stopped[p.Executor]; stopped && w.now > at+w.terms.DrainGrace {
+	if w.stopped[p.Executor] {
 		w.Fatal("rule 3: posting to an executor that drains or is gone")
 	}
 	var first *Posting
@@ -164,7 +159,6 @@
 
 func (w *world) Reverse(t *Txn) { w.final(t) }
 func (w *world) Watch(bool)     {}
-func (w *world) Log(string)     {}
 func (w *world) Alarm(after int64, then func()) {
 	w.alarms = append(w.alarms, alarm{w.now + max(after, 1), then})
 }
@@ -206,6 +200,14 @@
 	w.d.Settle()
 }
 
+// settle lets all jobs that are out start and end well at once, and what they make room for.
+func (w *world) settle() {
+	for len(w.open) > 0 {
+		w.d.Started(w.open[0])
+		w.end(w.open[0], Settled)
+	}
+}
+
 // step does one random legal thing.
 func (w *world) step() {
 	switch n := w.IntN(20); {
@@ -219,7 +221,7 @@
 			w.d.Started(p)
 		}
 		w.d.Progress(p, w.Float64())
-	case n == 14:
+	case n == 14 && len(w.fleet) > 0:
 		m := w.fleet[w.IntN(len(w.fleet))]
 		if m.State = State(w.IntN(3)); m.State == Up && w.IntN(2) == 0 {
 			m.Since = w.now
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -31,7 +31,6 @@
 	Reach     Reach
 	Memory    int64 // how long a group remembers a referenced txn
 	Kind      int   // the one kind of machine that runs it, or -1
-	Priority  float64
 }
 
 // Tenant is one customer with its share of the service.
@@ -55,13 +54,9 @@
 	MostPostings int
 	MayCancel    bool
 	MayDuplicate bool
-	MayProbe     bool
 	MaxReturn    int64 // longest advice that a client follows; 0: give none
-	DialTimeout  int64
 	CrossPrice   float64
-	WastePrice   float64
 	WorstScheme  float64 // weight of the scheme served worst, over that of the whole
-	DrainGrace   int64
 	ColdShare    float64
 	Cold         int64
 	Fall         int64
@@ -109,7 +104,6 @@
 	Reverse(t *Txn)
 	Alarm(after int64, then func())
 	Watch(on bool)
-	Log(text string)
 }
 
 // Txn is one job taken from a client, owed exactly one final answer.
@@ -118,10 +112,8 @@
 	Scheme   *Scheme
 	Tenant   int
 	Slots    float64
-	Memory   float64
 	Hint     int64 // expected work on a standard core; 0: not told
 	Expiry   int64 // clock time
-	Repeat   bool  // the client marked it as its own retry
 	Postings []*Posting
 	Over     bool // the final answer is given, or the client has left
 
--- a/internal/simwire/fields.go
+++ b/internal/simwire/fields.go
@@ -110,11 +110,10 @@
 		Subscribe: word("Discovery") == "subscribe", TellsStart: flag("Extra.TellsStart"),
 		Progress: f.wholeOr("Extra.Progress", 0), MostPostings: int(f.wholeOr("Limits.MostPostings", 1)),
 		MayCancel: flag("Limits.MayCancel"), MayDuplicate: flag("Limits.MayDuplicate"),
-		MayProbe:  flag("Limits.MayProbe"),
-		MaxReturn: f.wholeOr("Limits.MaxRetryAfter", 0), DialTimeout: f.wholeOr("Limits.DialTimeout", 0),
-		CrossPrice: f.realOr("Prices.CrossZone", 0), WastePrice: f.realOr("Prices.Waste", 0),
-		DrainGrace: f.wholeOr("Rules.DrainGrace", 0), ColdShare: f.realOr("Rules.ColdShare", 0),
-		Cold: f.wholeOr("Rules.Cold", 0), Fall: f.wholeOr("Rules.Fall", 0),
+		MaxReturn:  f.wholeOr("Limits.MaxRetryAfter", 0),
+		CrossPrice: f.realOr("Prices.CrossZone", 0),
+		ColdShare:  f.realOr("Rules.ColdShare", 0),
+		Cold:       f.wholeOr("Rules.Cold", 0), Fall: f.wholeOr("Rules.Fall", 0),
 		WorstScheme:  f.realOr("ScoreParts.WorstClass", 0) / max(f.realOr("ScoreParts.Whole", 1), 0.01),
 		FallMultiple: f.realOr("Rules.FallMultiple", 1), AskWithin: f.wholeOr("Rules.AskWithin", 1e9),
 	}
@@ -123,7 +122,6 @@
 	}
 	kinds := strings.Split(word("Extra.ClassKind"), ",")
 	stretches := strings.Split(word("Extra.ClassStretch"), ",")
-	priorities := strings.Split(word("Extra.ClassPriority"), ",")
 	listed := func(values []string, i int, absent float64) float64 {
 		if i >= len(values) || values[i] == "" {
 			return absent
@@ -139,9 +137,8 @@
 		at := "Schemes." + strconv.Itoa(i) + "."
 		s := &dispatch.Scheme{Index: i, SlaTime: f.whole(at + "SlaTime"), Value: f.realOr(at+"BillingValue", 1),
 			LateValue: f.realOr(at+"LateBillingValue", 0), Memory: f.wholeOr(at+"MemorySpan", 0),
-			Kind:     int(listed(kinds, i, -1)),
-			Stretch:  f.realOr(at+"AimStretch", listed(stretches, i, 0)),
-			Priority: listed(priorities, i, 0)}
+			Kind:    int(listed(kinds, i, -1)),
+			Stretch: f.realOr(at+"AimStretch", listed(stretches, i, 0))}
 		switch v := f.text(at + "Idempotency"); v {
 		case "idempotent":
 		case "deduplicated":
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -259,8 +259,7 @@
 func (n *node) order(f *fields) {
 	tag, scheme := f.text("Job"), int(f.whole("Grade"))
 	t := &dispatch.Txn{Tag: tag, Tenant: int(f.wholeOr("Tenant", 0)), Slots: f.realOr("Slots", 1),
-		Memory: f.realOr("Mem", 0), Hint: f.wholeOr("Predicted", 0), Expiry: f.whole("GiveUpAt"),
-		Repeat: f.wholeOr("IsRetry", 0) != 0}
+		Hint: f.wholeOr("Predicted", 0), Expiry: f.whole("GiveUpAt")}
 	if f.err == nil && (scheme < 0 || scheme >= len(n.terms.Schemes)) {
 		f.fail("no scheme %d in the settings", scheme)
 	}
@@ -366,5 +365,3 @@
 	}
 	n.say("WATCH", "Enable", enable)
 }
-
-func (n *node) Log(text string) { n.say("LOG", "Text", text) }
