--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -24,8 +24,8 @@
 	margin     = 1.0  // jobs over its fair part that make an executor crowded; the least that is not noise
 	growth     = 0.25 // slots for a prompt start, less under a limit of one; with cut, one in three may wait
 	firstRoom  = 4.0  // slots in flight allowed before anything is known; a small machine's worth
-	cut        = 0.75 // share of the in-flight limit kept when a posting was seen to wait; the usual mild cut
-	overrun    = 2.0  // times the high end of measured running time that make a job overdue; clear of chance
+	cut        = 0.5  // share of the in-flight limit kept when a posting was seen to wait; the usual halving
+	overrun    = 4.0  // times the high end of measured running time that make a job overdue; beyond long jobs too
 	highEnd    = 0.9  // quantile taken as high end; the histograms are too small to know more
 	missing    = 1.5  // progress periods without a note that mean standing still; one late note is no proof
 	safety     = 0.7  // part of the cold budget that is used; speeds and hints are guesses
