--- /dev/null
+++ b/cmd/fernrail/main.go
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Command fernrail is one node: it takes jobs from clients and pushes them to executors.
+package main
+
+import (
+	"context"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fernrail/internal/config"
+	"fernrail/internal/routing"
+	"fernrail/internal/transport"
+)
+
+// memoryPart of the limit is what the runtime is told; the rest is for stacks of the kernel and the program itself.
+const memoryPart = 0.75
+
+func main() {
+	log := zerolog.New(os.Stdout).With().Timestamp().Logger()
+	if err := run(log); err != nil {
+		log.Error().Err(err).Msg("node ends")
+		os.Exit(1)
+	}
+}
+
+func run(log zerolog.Logger) error {
+	c, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	log = log.With().Str("node", c.Name).Logger()
+	runtime.GOMAXPROCS(max(int(math.Ceil(c.Cores)), 1))
+	debug.SetMemoryLimit(int64(memoryPart * float64(c.Memory)))
+
+	descriptors := transport.NewDescriptors(c.Sockets)
+	node := routing.New(c.Terms, c.Seed, c.Known, transport.NewExecutors(descriptors, c.Dial, c.Idle),
+		transport.NewDiscovery(c.Discovery, c.Names), log)
+	server := transport.NewServer(descriptors, c.Names, node.Serve, node.Ready, log)
+
+	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	follow, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go node.Follow(follow)
+
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(c.Listen) }()
+	log.Info().Str("listen", c.Listen).Int("executors", len(c.Known.Entries)).Msg("node serves")
+	select {
+	case err := <-ended:
+		return err
+	case <-stopped.Done():
+	}
+	log.Info().Msg("node stops")
+	limit, cancelLimit := context.WithTimeout(context.Background(), c.Longest+time.Second)
+	defer cancelLimit()
+	return server.Stop(limit)
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,169 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"fernrail/dispatch"
+	"fernrail/internal/protocol"
+)
+
+// Node is what one node is told at start.
+type Node struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Cores                   float64
+	Memory                  int64 // bytes
+	Sockets                 int
+	Known                   *protocol.List
+	Names                   *protocol.Names
+	Terms                   *dispatch.Terms
+	Dial                    time.Duration // for a connection to an executor to come up
+	Idle                    time.Duration // after which an executor closes an unused connection
+	Longest                 time.Duration // expiry of the scheme that has the longest
+}
+
+const (
+	defaultCores   = 1
+	defaultMemory  = 192 // MB
+	defaultSockets = 1024
+	leastMemory    = 24 // MB; under this the runtime alone does not fit
+	leastSockets   = 32 // descriptors; under this the reserve leaves none for work
+)
+
+// Load reads the file that EDGE_CONFIG names. The other EDGE variables, where set, go before the file.
+func Load(env func(string) string) (*Node, error) {
+	path := env("EDGE_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("EDGE_CONFIG: names no file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	return parse(text, env)
+}
+
+func parse(text []byte, env func(string) string) (*Node, error) {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.UseNumber()
+	var tree map[string]any
+	if err := decoder.Decode(&tree); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	flat := map[string]string{}
+	for key, value := range tree {
+		if key != "known" && key != "settings" {
+			flatten(flat, key, value)
+		}
+	}
+	settings, isObject := tree["settings"].(map[string]any)
+	if !isObject {
+		return nil, fmt.Errorf("settings: missing or not an object")
+	}
+	under := map[string]string{}
+	for key, value := range settings {
+		flatten(under, key, value)
+	}
+	find := func(key string) (string, bool) { v, found := under[key]; return v, found }
+	n := &Node{}
+	var err error
+	if n.Terms, err = Decode(find); err != nil {
+		return nil, err
+	}
+	r := &reader{find: find}
+	n.Dial = time.Duration(r.whole("Limits.DialTimeout", 1e9, 1))
+	n.Idle = time.Duration(r.whole("Limits.IdleClose", 10e9, 0))
+	n.Names = &protocol.Names{Zones: r.list("Dcs"), Kinds: r.list("Skus")}
+	for i := range n.Terms.Schemes {
+		at := "Schemes." + strconv.Itoa(i) + "."
+		n.Names.Schemes = append(n.Names.Schemes, r.word(at+"Name"))
+		n.Longest = max(n.Longest, time.Duration(r.whole(at+"Expiry", 60e9, 1)))
+	}
+	for i := range n.Terms.Tenants {
+		n.Names.Tenants = append(n.Names.Tenants, r.word("Tenants."+strconv.Itoa(i)+".Name"))
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	return n, n.own(flat, tree["known"], env)
+}
+
+// own reads what stands beside the settings.
+func (n *Node) own(flat map[string]string, known any, env func(string) string) error {
+	r := &reader{find: func(key string) (string, bool) { v, found := flat[key]; return v, found }}
+	address := func(variable, key string) string {
+		v := env(variable)
+		if v == "" {
+			v = r.word(key)
+		} else {
+			key = variable
+		}
+		if _, _, err := net.SplitHostPort(v); err != nil && r.err == nil {
+			r.err = fmt.Errorf("%s: %q is not host:port", key, v)
+		}
+		return v
+	}
+	if n.Name = env("EDGE_NAME"); n.Name == "" {
+		n.Name = r.word("name")
+	}
+	n.Listen, n.Discovery = address("EDGE_LISTEN", "listen"), address("EDGE_DISCOVERY", "discovery")
+	n.Cores = r.real("limits.cores", defaultCores)
+	n.Memory = r.whole("limits.memory_mb", defaultMemory, leastMemory) << 20
+	n.Sockets = int(r.whole("limits.sockets", defaultSockets, leastSockets))
+	if r.err != nil {
+		return r.err
+	}
+	var err error
+	if n.Seed, err = strconv.ParseUint(r.word("seed"), 16, 64); err != nil {
+		return fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", r.word("seed"))
+	}
+	if known == nil {
+		n.Known = &protocol.List{Full: true}
+		return nil
+	}
+	text, err := json.Marshal(known)
+	if err == nil {
+		n.Known, err = protocol.ReadList(text, n.Names)
+	}
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	return nil
+}
+
+// flatten gives each value its dotted name; lists of plain values are joined by commas, others get a count, as on
+// the bench's wire.
+func flatten(flat map[string]string, key string, value any) {
+	switch v := value.(type) {
+	case map[string]any:
+		for name, inner := range v {
+			flatten(flat, key+"."+name, inner)
+		}
+	case []any:
+		plain := []string{}
+		for i, inner := range v {
+			switch inner.(type) {
+			case map[string]any, []any:
+				flatten(flat, key+"."+strconv.Itoa(i), inner)
+			default:
+				plain = append(plain, fmt.Sprint(inner))
+			}
+		}
+		flat[key+".count"] = strconv.Itoa(len(v))
+		if len(plain) == len(v) {
+			flat[key] = strings.Join(plain, ",")
+		}
+	case nil:
+	default:
+		flat[key] = fmt.Sprint(v)
+	}
+}
--- /dev/null
+++ b/internal/config/terms.go
@@ -0,0 +1,138 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package config is the one place where configuration is read, checked and given defaults. Bench and node share
+// the decoder of the settings; the node's file stands around them.
+package config
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"fernrail/dispatch"
+)
+
+// Find looks up a setting by its dotted name, such as Limits.IdleClose or Schemes.0.SlaTime.
+type Find func(name string) (string, bool)
+
+// reader reads settings. The first fault is kept and names its key; later reads give what stands for absent.
+type reader struct {
+	find Find
+	err  error
+}
+
+func (r *reader) fail(key, value, want string) {
+	if r.err == nil {
+		r.err = fmt.Errorf("settings: %s: %q is not %s", key, value, want)
+	}
+}
+
+func (r *reader) word(key string) string { v, _ := r.find(key); return v }
+
+func (r *reader) flag(key string) bool { v := r.word(key); return v == "true" || v == "1" }
+
+func (r *reader) real(key string, absent float64) float64 { return r.number(key, r.word(key), absent) }
+
+func (r *reader) number(key, v string, absent float64) float64 {
+	if v == "" {
+		return absent
+	}
+	x, err := strconv.ParseFloat(v, 64)
+	if err != nil || x != x || x > 1e18 || x < -1e18 {
+		r.fail(key, v, "a number")
+		return absent
+	}
+	return x
+}
+
+// whole reads a count or a time; where none below zero makes sense, least is 0.
+func (r *reader) whole(key string, absent, least int64) int64 {
+	v := r.word(key)
+	if v == "" {
+		return absent
+	}
+	x, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || x < least {
+		r.fail(key, v, fmt.Sprintf("a whole number of at least %d", least))
+		return absent
+	}
+	return x
+}
+
+func (r *reader) list(key string) []string {
+	if v := r.word(key); v != "" {
+		return strings.Split(v, ",")
+	}
+	return nil
+}
+
+// Decode reads the settings that the module uses; what it does not know is skipped, what is absent gets the value
+// that permits least.
+func Decode(find Find) (*dispatch.Terms, error) {
+	r := &reader{find: find}
+	whole := max(r.real("ScoreParts.Whole", 1), 0.01)
+	t := &dispatch.Terms{
+		Zone: int(r.whole("MyZone", 0, 0)), Nodes: int(r.whole("ReplicasOfMe", 1, 0)), Tick: r.whole("Tick", 1e6, 0),
+		ByWork: r.word("BillingValueBasis") == "work", OverValue: r.real("OverageBillingValue", 1),
+		Subscribe:  r.word("Discovery") == "subscribe",
+		Reports:    r.word("Report.Source") == "piggyback" || r.word("Report.Source") == "pull",
+		TellsStart: r.flag("Extra.TellsStart"), Progress: r.whole("Extra.Progress", 0, 0),
+		MostPostings: int(r.whole("Limits.MostPostings", 1, 0)),
+		MayCancel:    r.flag("Limits.MayCancel"), MayDuplicate: r.flag("Limits.MayDuplicate"),
+		MaxReturn: r.whole("Limits.MaxRetryAfter", 0, 0), CrossPrice: r.real("Prices.CrossZone", 0),
+		IdleClose:   r.whole("Limits.IdleClose", 0, 0),
+		ColdShare:   r.real("Rules.ColdShare", 0),
+		Cold:        r.whole("Rules.Cold", 0, 0),
+		Fall:        r.whole("Rules.Fall", 0, 0),
+		WorstScheme: r.real("ScoreParts.WorstClass", 0) / whole,
+		Missed: r.real("ScoreParts.Punctual", 0) / (4 * max(r.real("ScoreParts.MissAllowed", 1), 0.001)) /
+			whole,
+		FallMultiple: r.real("Rules.FallMultiple", 1), AskWithin: r.whole("Rules.AskWithin", 1e9, 0),
+	}
+	if !r.flag("Limits.RetryAfter") {
+		t.MaxReturn = 0
+	}
+	kinds, stretches := r.list("Extra.ClassKind"), r.list("Extra.ClassStretch")
+	listed := func(key string, values []string, i int, absent float64) float64 {
+		if i >= len(values) {
+			return absent
+		}
+		return r.number(key, values[i], absent)
+	}
+	if _, found := find("Schemes.count"); !found {
+		r.fail("Schemes", "", "a list")
+	}
+	count := int(r.whole("Schemes.count", 0, 0))
+	for i := 0; i < count && r.err == nil; i++ {
+		at := "Schemes." + strconv.Itoa(i) + "."
+		s := &dispatch.Scheme{Index: i, SlaTime: r.whole(at+"SlaTime", -1, 0), Value: r.real(at+"BillingValue", 1),
+			LateValue: r.real(at+"LateBillingValue", 0), Memory: r.whole(at+"MemorySpan", 0, 0),
+			Kind:    int(listed("Extra.ClassKind", kinds, i, -1)),
+			Stretch: r.real(at+"AimStretch", listed("Extra.ClassStretch", stretches, i, 0))}
+		if s.SlaTime < 0 {
+			r.fail(at+"SlaTime", r.word(at+"SlaTime"), "a time")
+		}
+		switch v := r.word(at + "Idempotency"); v {
+		case "idempotent":
+		case "deduplicated":
+			s.Effect = dispatch.Referenced
+		case "at_most_once":
+			s.Effect = dispatch.OnceOnly
+		default:
+			r.fail(at+"Idempotency", v, "a known kind of scheme")
+		}
+		switch r.word(at + "Group") {
+		case "zone":
+			s.Reach = dispatch.ReachZone
+		case "cell":
+			s.Reach = dispatch.ReachCell
+		}
+		t.Schemes = append(t.Schemes, s)
+	}
+	tenants := int(r.whole("Tenants.count", 0, 0))
+	for i := 0; i < tenants && r.err == nil; i++ {
+		at := "Tenants." + strconv.Itoa(i) + "."
+		t.Tenants = append(t.Tenants, &dispatch.Tenant{Share: r.real(at+"Share", 0), Quota: r.real(at+"QuotaPerS", 0)})
+	}
+	return t, r.err
+}
--- /dev/null
+++ b/internal/protocol/discovery.go
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package protocol
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+
+	"fernrail/dispatch"
+)
+
+// List is the list of executors, or what changed in it.
+type List struct {
+	Version int64
+	Full    bool
+	Entries []Entry
+}
+
+// Entry is one executor as the list tells of it.
+type Entry struct {
+	ID, Address      string
+	State            dispatch.State
+	Zone, Kind, Cell int
+	Units            float64
+	Started          int64 // Unix time, ns; 0: long ago
+}
+
+// MaxList bounds the bytes of a list; some thousands of executors fit.
+const MaxList = 4 << 20
+
+var listed = map[string]dispatch.State{"Ready": dispatch.Up, "Terminating": dispatch.Draining, "Gone": dispatch.Gone}
+
+// ReadList decodes a list. A fault in one entry spoils the whole: half a list would hide executors that drain.
+func ReadList(text []byte, names *Names) (*List, error) {
+	var m struct {
+		Version *int64 `json:"version"`
+		Full    *bool  `json:"full"`
+		Servers []struct {
+			ID      string  `json:"id"`
+			Addr    string  `json:"addr"`
+			Zone    string  `json:"zone"`
+			Kind    string  `json:"kind"`
+			Cell    int     `json:"cell"`
+			State   string  `json:"state"`
+			Weight  float64 `json:"weight"`
+			Started int64   `json:"started_ms"`
+		} `json:"servers"`
+	}
+	if err := json.Unmarshal(text, &m); err != nil {
+		return nil, err
+	}
+	if m.Version == nil || m.Full == nil || m.Servers == nil {
+		return nil, errors.New("version, full or servers is missing")
+	}
+	l := &List{Version: *m.Version, Full: *m.Full}
+	for i, s := range m.Servers {
+		state, known := listed[s.State]
+		e := Entry{ID: s.ID, Address: s.Addr, State: state, Zone: slices.Index(names.Zones, s.Zone),
+			Kind: slices.Index(names.Kinds, s.Kind), Cell: s.Cell, Units: s.Weight, Started: s.Started * 1e6}
+		switch _, _, err := net.SplitHostPort(s.Addr); {
+		case s.ID == "":
+			return nil, fmt.Errorf("servers.%d: id is missing", i)
+		case !known:
+			return nil, fmt.Errorf("servers.%d: unknown state %q", i, s.State)
+		case err != nil && state != dispatch.Gone:
+			return nil, fmt.Errorf("servers.%d: addr %q is not host:port", i, s.Addr)
+		case s.Started < 0 || s.Started > 1<<43:
+			return nil, fmt.Errorf("servers.%d: started_ms %d is no time", i, s.Started)
+		}
+		l.Entries = append(l.Entries, e)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/protocol/executor.go
@@ -0,0 +1,133 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package protocol
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// State is what a line of an executor tells of a job.
+type State int
+
+const (
+	Started State = iota
+	Running
+	Done
+	Failed
+	Returned // handed back unstarted
+	Lost     // killed
+)
+
+var states = map[string]State{"started": Started, "running": Running, "done": Done, "failed": Failed,
+	"returned": Returned, "lost": Lost}
+
+// Line is one line of an executor about one job.
+type Line struct {
+	State  State
+	Share  float64 // Running: the part done
+	Result string  // Done
+}
+
+// Last says whether the line ends its job.
+func (l Line) Last() bool { return l.State >= Done }
+
+// maxLine leaves room for a result of the largest size with every byte escaped.
+const maxLine = 6*MaxBody + 4096
+
+// maxStream bounds what one job may say over its life.
+const maxStream = 4 * maxLine
+
+// Lines reads an executor's answer about the job with the given id.
+type Lines struct {
+	id string
+	in *bufio.Scanner
+}
+
+func NewLines(id string, body io.Reader) *Lines {
+	in := bufio.NewScanner(io.LimitReader(body, maxStream))
+	in.Buffer(nil, maxLine)
+	return &Lines{id, in}
+}
+
+// Next gives the next line. An answer that ends before its last line is an error, as is a line cut short.
+func (l *Lines) Next() (Line, error) {
+	for l.in.Scan() {
+		if text := bytes.TrimSpace(l.in.Bytes()); len(text) > 0 {
+			return readLine(text, l.id)
+		}
+	}
+	return Line{}, errors.Join(l.in.Err(), io.ErrUnexpectedEOF)
+}
+
+func readLine(text []byte, id string) (Line, error) {
+	var m struct {
+		ID     string   `json:"id"`
+		State  string   `json:"state"`
+		Share  *float64 `json:"share"`
+		Result *string  `json:"result"`
+	}
+	if err := json.Unmarshal(text, &m); err != nil {
+		return Line{}, fmt.Errorf("unreadable line: %w", err)
+	}
+	state, known := states[m.State]
+	switch {
+	// Danger: an answer that belongs to another job, passed on as this one's.
+	case m.ID != id:
+		return Line{}, fmt.Errorf("a line about %.40q instead", m.ID)
+	case !known:
+		return Line{}, fmt.Errorf("unknown state %.40q", m.State)
+	case state == Done && m.Result == nil:
+		return Line{}, errors.New("done without a result")
+	case state == Running && (m.Share == nil || !(*m.Share >= 0 && *m.Share <= 1)):
+		return Line{}, errors.New("running without a share between 0 and 1")
+	}
+	l := Line{State: state}
+	if state == Done {
+		l.Result = *m.Result
+	}
+	if state == Running {
+		l.Share = *m.Share
+	}
+	return l, nil
+}
+
+// TurnedAway says whether an answer's head proves that the job was never run.
+func TurnedAway(r *http.Response) bool {
+	return (r.StatusCode == http.StatusServiceUnavailable || r.StatusCode == http.StatusGatewayTimeout) &&
+		r.Header.Get("X-Rejected") == "1"
+}
+
+// Job is one posting as it goes out.
+type Job struct {
+	Address string
+	Request *Request
+	Budget  time.Duration // how long the node will wait
+}
+
+// once hides that a body could be read again.
+// Danger: http.Transport sends a request again by itself where it can wind the body back, or sees that there is none.
+type once struct{ io.Reader }
+
+func (once) Close() error { return nil }
+
+// Encode makes the request to the executor.
+func (j *Job) Encode() (*http.Request, error) {
+	target, err := url.ParseRequestURI(j.Request.Target)
+	if err != nil {
+		return nil, err
+	}
+	target.Scheme, target.Host = "http", j.Address
+	return &http.Request{Method: http.MethodPost, URL: target, Host: j.Address, ProtoMajor: 1, ProtoMinor: 1,
+		ContentLength: int64(len(j.Request.Body)), Body: once{bytes.NewReader(j.Request.Body)},
+		Header: http.Header{"X-Call-Id": {j.Request.ID}, "User-Agent": nil,
+			"X-Budget-Ms": {strconv.FormatInt(j.Budget.Milliseconds(), 10)}}}, nil
+}
--- /dev/null
+++ b/internal/protocol/request.go
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package protocol turns what comes over the sockets into small typed values, once, and what goes out into bytes.
+package protocol
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// MaxBody is how many bytes a body may hold, in either direction.
+const MaxBody = 64 << 10
+
+const longestBudget = time.Hour // beyond any expiry; more would overflow when counted in nanoseconds
+
+// Names are the names that the sockets use, by index in the settings' lists.
+type Names struct {
+	Zones, Kinds, Schemes, Tenants []string
+}
+
+// Request is one txn as its client handed it in.
+type Request struct {
+	ID     string
+	Target string // path and query, passed on as they came
+	Scheme int
+	Tenant int
+	Budget time.Duration
+	Slots  float64
+	Hint   int64 // ns of work; 0: not told
+	Body   []byte
+}
+
+// Fault is an answer to a request that cannot be taken.
+type Fault struct {
+	Status int
+	Text   string
+}
+
+// ReadRequest decodes a client's request, or says what is wrong with it.
+func ReadRequest(r *http.Request, names *Names) (*Request, *Fault) {
+	if r.Method != http.MethodPost {
+		return nil, &Fault{http.StatusMethodNotAllowed, "jobs come by POST"}
+	}
+	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	q := &Request{ID: r.Header.Get("X-Call-Id"), Target: r.RequestURI, Slots: 1}
+	class := r.Header.Get("X-Call-Class")
+	if q.Scheme = slices.Index(names.Schemes, class); q.Scheme < 0 || class != first {
+		return nil, &Fault{http.StatusNotFound, "no such scheme, or path and X-Call-Class differ"}
+	}
+	if q.ID == "" || len(q.ID) > 256 {
+		return nil, &Fault{http.StatusBadRequest, "X-Call-Id is missing or too long"}
+	}
+	caller := r.Header.Get("X-Caller")
+	if q.Tenant = slices.Index(names.Tenants, caller); q.Tenant < 0 {
+		if q.Tenant = 0; len(names.Tenants) > 0 {
+			return nil, &Fault{http.StatusForbidden, "X-Caller names no tenant"}
+		}
+	}
+	budget, err := strconv.ParseInt(r.Header.Get("X-Budget-Ms"), 10, 64)
+	if err != nil || budget <= 0 || budget > longestBudget.Milliseconds() {
+		return nil, &Fault{http.StatusBadRequest, "X-Budget-Ms is not a time in whole milliseconds"}
+	}
+	q.Budget = time.Duration(budget) * time.Millisecond
+	for part := range strings.SplitSeq(r.Header.Get("X-Call-Info"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		switch name {
+		case "slots":
+			if q.Slots, err = strconv.ParseFloat(value, 64); err != nil || !(q.Slots > 0 && q.Slots < 1e6) {
+				return nil, &Fault{http.StatusBadRequest, "X-Call-Info: slots is not a number above 0"}
+			}
+		case "hint":
+			if q.Hint, err = strconv.ParseInt(value, 10, 64); err != nil || q.Hint < 0 {
+				return nil, &Fault{http.StatusBadRequest, "X-Call-Info: hint is not a time in nanoseconds"}
+			}
+		}
+	}
+	if q.Body, err = io.ReadAll(r.Body); err != nil {
+		if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+			return nil, &Fault{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
+		}
+		return nil, &Fault{http.StatusBadRequest, "the body did not come whole"}
+	}
+	return q, nil
+}
+
+// Answer is the final answer to a client.
+type Answer struct {
+	Status   int
+	ReturnIn time.Duration // advice; 0: none
+	Body     string
+}
+
+// Write puts the answer on its way.
+func (a *Answer) Write(w http.ResponseWriter) error {
+	if a.ReturnIn > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(a.ReturnIn.Seconds(), 'f', -1, 64))
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(a.Status)
+	_, err := io.WriteString(w, a.Body)
+	return err
+}
--- /dev/null
+++ b/internal/routing/life.go
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package routing
+
+import (
+	"context"
+	"net/http"
+
+	"fernrail/dispatch"
+	"fernrail/internal/protocol"
+)
+
+// life is a txn that has no final answer yet.
+type life struct {
+	request *protocol.Request
+	answer  chan *protocol.Answer // holds the one final answer
+}
+
+// Serve is the life of one txn, from the request read whole to its one final answer.
+func (n *Node) Serve(ctx context.Context, q *protocol.Request) *protocol.Answer {
+	l := &life{request: q, answer: make(chan *protocol.Answer, 1)}
+	t := &dispatch.Txn{Tag: q.ID, Tenant: q.Tenant, Slots: q.Slots, Hint: q.Hint, Scheme: n.terms.Schemes[q.Scheme]}
+	err := n.event(func() {
+		t.Expiry = n.clock() + int64(q.Budget)
+		n.lives[t] = l
+		n.module.Arrive(t)
+	})
+	// Danger: a txn that the module lost in a fault; it is owed an answer all the same.
+	if err != nil {
+		n.event(func() { n.drop(t) })
+		return &protocol.Answer{Status: http.StatusInternalServerError}
+	}
+	select {
+	case a := <-l.answer:
+		return a
+	case <-ctx.Done():
+		n.event(func() { n.drop(t) })
+		return nil
+	}
+}
+
+// drop ends a txn whose client takes no answer any more.
+func (n *Node) drop(t *dispatch.Txn) {
+	if n.lives[t] != nil {
+		delete(n.lives, t)
+		n.module.Left(t)
+	}
+}
+
+// answer gives a txn its final answer, the first one that comes.
+func (n *Node) answer(t *dispatch.Txn, a *protocol.Answer) {
+	if l := n.lives[t]; l != nil {
+		delete(n.lives, t)
+		l.answer <- a
+	}
+}
+
+// carry takes one posting to its executor and tells the module of its one outcome.
+func (n *Node) carry(ctx context.Context, withdraw context.CancelFunc, p *dispatch.Posting, job *protocol.Job) {
+	sent := n.clock()
+	defer withdraw()
+	n.carrier.Do(ctx, job, func(line protocol.Line) {
+		n.event(func() {
+			if line.State == protocol.Started {
+				n.module.Started(p)
+			} else {
+				n.module.Progress(p, line.Share)
+			}
+		})
+	}, func(o dispatch.Outcome, result string, cause error) {
+		n.event(func() {
+			delete(n.out, p)
+			if o == dispatch.Settled {
+				n.answer(p.Txn, &protocol.Answer{Status: http.StatusOK, Body: result})
+			}
+			n.module.Ended(p, o, n.clock()-sent, n.lives[p.Txn] == nil)
+		})
+		if cause != nil && o != dispatch.Revoked {
+			n.log.Debug().Err(cause).Str("executor", p.Executor.Tag).Int("outcome", int(o)).Msg("posting ended")
+		}
+	})
+}
--- /dev/null
+++ b/internal/routing/node.go
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package routing runs the decision module of one node: under one lock, with a clock and alarms, it tells the
+// module what happens and carries out what it decides. It decides nothing itself.
+package routing
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fernrail/dispatch"
+	"fernrail/internal/protocol"
+)
+
+// Carrier takes postings to executors.
+type Carrier interface {
+	Do(ctx context.Context, job *protocol.Job, heard func(protocol.Line),
+		ended func(o dispatch.Outcome, result string, cause error))
+}
+
+// Lister asks discovery.
+type Lister interface {
+	Ask(ctx context.Context, since int64, whole bool) (*protocol.List, error)
+}
+
+// Node is the module with all that it acts through. It is the module's Door.
+type Node struct {
+	terms   *dispatch.Terms
+	carrier Carrier
+	lister  Lister
+	log     zerolog.Logger
+	start   time.Time
+
+	mu      sync.Mutex // round the module and all below; never held over a write, a dial or a log line
+	module  *dispatch.Dispatcher
+	members map[string]*member
+	version int64
+	lives   map[*dispatch.Txn]*life                  // txns without a final answer
+	out     map[*dispatch.Posting]context.CancelFunc // postings without an outcome
+	watch   chan bool                                // what the module wants of the list, at most one order
+}
+
+// member is an executor of the list with its present address.
+type member struct {
+	executor *dispatch.Executor
+	address  string
+}
+
+// New starts the module on the list as it was last known.
+func New(terms *dispatch.Terms, seed uint64, known *protocol.List, c Carrier, l Lister, log zerolog.Logger) *Node {
+	n := &Node{terms: terms, carrier: c, lister: l, log: log, start: time.Now(), members: map[string]*member{},
+		lives: map[*dispatch.Txn]*life{}, out: map[*dispatch.Posting]context.CancelFunc{}, watch: make(chan bool, 1)}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.module = dispatch.New(terms, seed, n, n.clock())
+	n.listed(known)
+	if !terms.Subscribe {
+		n.Watch(true)
+	}
+	return n
+}
+
+// clock is Unix time that never goes back, the clock that discovery tells starts by.
+func (n *Node) clock() int64 { return n.start.UnixNano() + int64(time.Since(n.start)) }
+
+// event tells the module one thing. A panic there ends this step alone, and is told with its stack.
+func (n *Node) event(step func()) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("panic: %v", r)
+			n.log.Error().Err(err).Bytes("stack", debug.Stack()).Msg("a step of the module failed")
+		}
+	}()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.module.At(n.clock())
+	step()
+	n.module.Settle()
+	return nil
+}
+
+// Ready says whether the node can serve.
+func (n *Node) Ready() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.members) > 0
+}
+
+// Alarm implements dispatch.Door, as do the methods after it. All are called under the lock and none blocks.
+func (n *Node) Alarm(after int64, then func()) {
+	time.AfterFunc(time.Duration(after), func() { n.event(then) })
+}
+
+func (n *Node) Watch(on bool) {
+	select {
+	case <-n.watch:
+	default:
+	}
+	n.watch <- on
+}
+
+func (n *Node) Post(p *dispatch.Posting) {
+	till := p.Txn.Expiry
+	if p.Limit > 0 {
+		till = min(till, n.clock()+p.Limit)
+	}
+	budget := time.Duration(till - n.clock())
+	ctx, withdraw := context.WithTimeout(context.Background(), budget)
+	n.out[p] = withdraw
+	job := &protocol.Job{Request: n.lives[p.Txn].request, Budget: budget}
+	if m := n.members[p.Executor.Tag]; m != nil {
+		job.Address = m.address
+	}
+	go n.carry(ctx, withdraw, p, job)
+}
+
+func (n *Node) Withdraw(p *dispatch.Posting) {
+	if withdraw := n.out[p]; withdraw != nil {
+		withdraw()
+	}
+}
+
+func (n *Node) Decline(t *dispatch.Txn, returnIn int64) {
+	n.answer(t, &protocol.Answer{Status: http.StatusServiceUnavailable, ReturnIn: time.Duration(returnIn)})
+}
+
+func (n *Node) Reverse(t *dispatch.Txn) {
+	n.answer(t, &protocol.Answer{Status: http.StatusInternalServerError})
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"runtime/debug"
@@ -13,6 +14,7 @@
 	"strings"
 
 	"fernrail/dispatch"
+	"fernrail/internal/config"
 )
 
 // Serve answers batches until the input ends. A line that cannot be read is an error that names its number.
@@ -188,8 +190,9 @@
 
 func (n *node) start(f *fields) {
 	seed := f.whole("InitSeed")
-	terms := decode(f)
-	if f.err != nil {
+	terms, err := config.Decode(f.find)
+	if f.err != nil || err != nil {
+		f.err = cmp.Or(f.err, err)
 		return
 	}
 	n.executors, n.txns, n.alarms = map[string]*dispatch.Executor{}, map[string]*dispatch.Txn{}, map[int64]func(){}
--- /dev/null
+++ b/internal/transport/discovery.go
@@ -0,0 +1,63 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package transport
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"fernrail/internal/protocol"
+)
+
+const (
+	// waits is how long a watch lets discovery wait for news. What a silent one has to tell counts as told 2 s after
+	// that wait at the latest, so a short wait is a fresh list; the calls go to this machine's own agent.
+	waits = 3 * time.Second
+	// silence is how much longer an answer is waited for.
+	silence = time.Second
+)
+
+// Discovery asks for the list of executors.
+type Discovery struct {
+	address   string
+	names     *protocol.Names
+	transport http.RoundTripper
+}
+
+func NewDiscovery(address string, names *protocol.Names) *Discovery {
+	return &Discovery{address, names, &http.Transport{DisableCompression: true, MaxConnsPerHost: 1}}
+}
+
+// Ask gets the whole list, or waits for changes since a version.
+func (d *Discovery) Ask(ctx context.Context, since int64, whole bool) (*protocol.List, error) {
+	limit, target := silence, "http://"+d.address+"/api/targets"
+	if !whole {
+		limit += waits
+		target += fmt.Sprintf("?since=%d&timeout_ms=%d", since, waits.Milliseconds())
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := d.transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("discovery answered %s", response.Status)
+	}
+	text, err := io.ReadAll(io.LimitReader(response.Body, protocol.MaxList+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(text) > protocol.MaxList {
+		return nil, fmt.Errorf("a list of over %d bytes", protocol.MaxList)
+	}
+	return protocol.ReadList(text, d.names)
+}
--- /dev/null
+++ b/internal/transport/executors.go
@@ -0,0 +1,152 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package transport
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"fernrail/dispatch"
+	"fernrail/internal/protocol"
+)
+
+// tail is how long the end of an answer is waited for once its last line is in, to keep the connection.
+const tail = time.Second
+
+// errShort says that a connection was not tried, for want of a descriptor.
+var errShort = errors.New("no descriptor left")
+
+// Executors holds the connections to executors.
+type Executors struct {
+	transport *http.Transport
+}
+
+// NewExecutors: dial is how long a connection may take to come up, idle how long executors keep an unused one.
+func NewExecutors(d *Descriptors, dial, idle time.Duration) *Executors {
+	dialer := &net.Dialer{Timeout: dial, KeepAlive: -1}
+	return &Executors{&http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if !d.take(executors) {
+				return nil, errShort
+			}
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				d.give(executors)
+				return nil, err
+			}
+			return &conn{Conn: c, owner: d, of: executors}, nil
+		},
+		// Danger: a request written to a connection as the executor closes it may have run. Ours end first.
+		IdleConnTimeout:     max(idle-idle/5, time.Millisecond),
+		MaxIdleConnsPerHost: 1 << 20, // the descriptor budget is the limit
+		DisableCompression:  true,
+		WriteBufferSize:     protocol.MaxBody + 4096, // a request goes out in one write
+		ReadBufferSize:      4096,
+	}}
+}
+
+// Do carries one posting to its end. It tells of starts and progress by heard, and of the end by ended, once, before
+// it looks after the connection.
+func (x *Executors) Do(ctx context.Context, job *protocol.Job, heard func(protocol.Line),
+	ended func(o dispatch.Outcome, result string, cause error)) {
+	request, err := job.Encode()
+	if err != nil {
+		ended(dispatch.Unsent, "", err)
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var used *conn
+	trace := &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			if used, _ = i.Conn.(*conn); used != nil {
+				used.owner.rest(used, false)
+				used.start()
+			}
+		},
+		PutIdleConn: func(err error) {
+			if err == nil {
+				used.owner.rest(used, true)
+			}
+		},
+	}
+	response, err := x.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil {
+		ended(failed(ctx, used, err), "", err)
+		return
+	}
+	defer response.Body.Close()
+	switch {
+	case protocol.TurnedAway(response):
+		ended(dispatch.Full, "", nil)
+		finish(response.Body, cancel)
+		return
+	case response.StatusCode != http.StatusOK:
+		ended(dispatch.Erred, "", nil)
+		finish(response.Body, cancel)
+		return
+	}
+	lines := protocol.NewLines(job.Request.ID, response.Body)
+	for {
+		line, err := lines.Next()
+		switch {
+		case err != nil:
+			o := givenUp(ctx)
+			if o == dispatch.Settled {
+				o = dispatch.Broken
+			}
+			ended(o, "", err)
+			return
+		case !line.Last():
+			heard(line)
+			continue
+		case line.State == protocol.Done:
+			ended(dispatch.Settled, line.Result, nil)
+		case line.State == protocol.Returned:
+			ended(dispatch.Full, "", nil)
+		case line.State == protocol.Lost:
+			ended(dispatch.Broken, "", nil)
+		default:
+			ended(dispatch.Erred, "", nil)
+		}
+		finish(response.Body, cancel)
+		return
+	}
+}
+
+// finish reads an answer to its end, which gives its connection back.
+func finish(body io.Reader, cancel context.CancelFunc) {
+	stop := time.AfterFunc(tail, cancel)
+	defer stop.Stop()
+	io.CopyN(io.Discard, body, 4096) // more than that is not worth a connection
+}
+
+// givenUp is the outcome of a posting that the node has stopped waiting for; Settled: it has not.
+func givenUp(ctx context.Context) dispatch.Outcome {
+	switch {
+	case ctx.Err() == nil:
+		return dispatch.Settled
+	case errors.Is(ctx.Err(), context.Canceled):
+		return dispatch.Revoked
+	}
+	return dispatch.TimedOut
+}
+
+// failed is the outcome of a posting that got no answer, by what is proved.
+func failed(ctx context.Context, used *conn, err error) dispatch.Outcome {
+	switch {
+	case used == nil && errors.Is(err, errShort):
+		return dispatch.Unsent
+	case givenUp(ctx) != dispatch.Settled:
+		return givenUp(ctx)
+	// The library tells of a connection before it writes to it, in the same goroutine as the call.
+	case used == nil || used.unsent():
+		return dispatch.Undialed
+	}
+	return dispatch.Broken
+}
--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,117 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package transport
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fernrail/internal/protocol"
+)
+
+const (
+	// slowest is how long a client may take to hand a request in, from its first byte on.
+	slowest = 10 * time.Second
+	// quiet is how long new connections may go on coming after the order to stop, and some more.
+	quiet = 500 * time.Millisecond
+)
+
+// Serve is the life of one request: it gives the one final answer, or nil if the client has left.
+type Serve func(ctx context.Context, q *protocol.Request) *protocol.Answer
+
+// Server is the side that clients reach.
+type Server struct {
+	descriptors *Descriptors
+	names       *protocol.Names
+	serve       Serve
+	ready       func() bool
+	log         zerolog.Logger
+	http        *http.Server
+}
+
+func NewServer(d *Descriptors, names *protocol.Names, serve Serve, ready func() bool, l zerolog.Logger) *Server {
+	s := &Server{descriptors: d, names: names, serve: serve, ready: ready, log: l}
+	s.http = &http.Server{Handler: s, ReadTimeout: slowest, MaxHeaderBytes: 16 << 10,
+		ErrorLog: log.New(l.With().Str("part", "net/http").Logger(), "", 0),
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateIdle || state == http.StateActive {
+				d.rest(c.(*conn), state == http.StateIdle)
+			}
+		}}
+	return s
+}
+
+// listener gives each connection its place in the budget before it is accepted.
+type listener struct {
+	net.Listener
+	descriptors *Descriptors
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	// Danger: a connection left in the kernel's queue may hold a txn. Where all places are taken it waits for the
+	// first one that is given back; those in spare places are answered and closed at once.
+	for !l.descriptors.take(clients) {
+		<-l.descriptors.wake
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		l.descriptors.give(clients)
+		return nil, err
+	}
+	return &conn{Conn: c, owner: l.descriptors, of: clients}, nil
+}
+
+// Run serves until Stop.
+func (s *Server) Run(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	if err := s.http.Serve(&listener{l, s.descriptors}); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Stop takes what still comes for a while, answers all that was taken and ends. Connections close between requests.
+func (s *Server) Stop(ctx context.Context) error {
+	s.http.SetKeepAlivesEnabled(false)
+	time.Sleep(quiet)
+	return s.http.Shutdown(ctx)
+}
+
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/-/ready" {
+		answer := &protocol.Answer{Status: http.StatusOK, Body: "ready\n"}
+		if !s.ready() {
+			answer = &protocol.Answer{Status: http.StatusServiceUnavailable, Body: "not ready\n"}
+		}
+		answer.Write(w)
+		return
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, protocol.MaxBody)
+	q, fault := protocol.ReadRequest(r, s.names)
+	if fault != nil {
+		s.log.Warn().Int("status", fault.Status).Str("fault", fault.Text).Msg("request not taken")
+		w.Header().Set("Connection", "close")
+		(&protocol.Answer{Status: fault.Status, Body: fault.Text + "\n"}).Write(w)
+		return
+	}
+	// Danger: the time limit for handing in would end the wait for the answer too, and look like a client's leaving.
+	http.NewResponseController(w).SetReadDeadline(time.Time{})
+	if s.descriptors.short() {
+		s.log.Warn().Msg("descriptors are short: declined at the door")
+		w.Header().Set("Connection", "close")
+		(&protocol.Answer{Status: http.StatusServiceUnavailable}).Write(w)
+		return
+	}
+	if answer := s.serve(r.Context(), q); answer != nil {
+		answer.Write(w)
+	}
+}
