Pass clients' headers on to the executor, and read the hint

Checked: the request as it came (a probe on the server) has an Idempotency-Key, which the node kept to itself; path, query and body were passed on as they were. At fault: Job.Encode, which made a header of its own. X-Call-Cost carries the hint in microseconds, by the ranges of the running times there.

--- a/internal/protocol/executor.go
+++ b/internal/protocol/executor.go
@@ -126,8 +126,11 @@
 		return nil, err
 	}
 	target.Scheme, target.Host = "http", j.Address
+	header := j.Request.Header.Clone()
+	header.Set("X-Budget-Ms", strconv.FormatInt(j.Budget.Milliseconds(), 10))
+	if header["User-Agent"] == nil {
+		header["User-Agent"] = nil // or the library would put its own
+	}
 	return &http.Request{Method: http.MethodPost, URL: target, Host: j.Address, ProtoMajor: 1, ProtoMinor: 1,
-		ContentLength: int64(len(j.Request.Body)), Body: once{bytes.NewReader(j.Request.Body)},
-		Header: http.Header{"X-Call-Id": {j.Request.ID}, "User-Agent": nil,
-			"X-Budget-Ms": {strconv.FormatInt(j.Budget.Milliseconds(), 10)}}}, nil
+		ContentLength: int64(len(j.Request.Body)), Body: once{bytes.NewReader(j.Request.Body)}, Header: header}, nil
 }
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -31,7 +31,8 @@
 	Tenant int
 	Budget time.Duration
 	Slots  float64
-	Hint   int64 // ns of work; 0: not told
+	Hint   int64       // ns of work; 0: not told
+	Header http.Header // what goes on to the executor
 	Body   []byte
 }
 
@@ -47,7 +48,7 @@
 		return nil, &Fault{http.StatusMethodNotAllowed, "jobs come by POST"}
 	}
 	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	q := &Request{ID: r.Header.Get("X-Call-Id"), Target: r.RequestURI, Slots: 1}
+	q := &Request{ID: r.Header.Get("X-Call-Id"), Target: r.RequestURI, Slots: 1, Header: passedOn(r.Header)}
 	class := r.Header.Get("X-Call-Class")
 	if q.Scheme = slices.Index(names.Schemes, class); q.Scheme < 0 || class != first {
 		return nil, &Fault{http.StatusNotFound, "no such scheme, or path and X-Call-Class differ"}
@@ -68,17 +69,19 @@
 	q.Budget = time.Duration(budget) * time.Millisecond
 	for part := range strings.SplitSeq(r.Header.Get("X-Call-Info"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		switch name {
-		case "slots":
+		if name == "slots" {
 			if q.Slots, err = strconv.ParseFloat(value, 64); err != nil || !(q.Slots > 0 && q.Slots < 1e6) {
 				return nil, &Fault{http.StatusBadRequest, "X-Call-Info: slots is not a number above 0"}
 			}
-		case "hint":
-			if q.Hint, err = strconv.ParseInt(value, 10, 64); err != nil || q.Hint < 0 {
-				return nil, &Fault{http.StatusBadRequest, "X-Call-Info: hint is not a time in nanoseconds"}
-			}
 		}
 	}
+	if cost := r.Header.Get("X-Call-Cost"); cost != "" {
+		micros, err := strconv.ParseFloat(cost, 64)
+		if err != nil || !(micros >= 0 && micros < 1e12) {
+			return nil, &Fault{http.StatusBadRequest, "X-Call-Cost is not a time in microseconds"}
+		}
+		q.Hint = int64(micros * 1e3)
+	}
 	if q.Body, err = io.ReadAll(r.Body); err != nil {
 		if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
 			return nil, &Fault{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
@@ -88,6 +91,25 @@
 	return q, nil
 }
 
+// hop names the headers that concern one connection alone.
+var hop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te",
+	"Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length"}
+
+// passedOn gives the headers that go on to the executor.
+// Danger: a mark against repeats, such as Idempotency-Key, that stays behind; the executor could not know the repeat.
+func passedOn(h http.Header) http.Header {
+	on := h.Clone()
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			on.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hop {
+		on.Del(name)
+	}
+	return on
+}
+
 // Answer is the final answer to a client.
 type Answer struct {
 	Status   int
