--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -20,6 +20,13 @@
 	"fernrail/internal/transport"
 )
 
+const (
+	// longestStop is how long a node is given at most, after the order to stop, for the txns that it has.
+	longestStop = 3 * time.Second
+	// stopMargin is part of the 0.7 s that it is given beyond that; the rest is for the last answers.
+	stopMargin = 300 * time.Millisecond
+)
+
 // memoryPart of the limit is what the runtime is told; the rest is for stacks of the kernel and the program itself.
 const memoryPart = 0.75
 
@@ -60,7 +67,9 @@
 	case <-stopped.Done():
 	}
 	log.Info().Msg("node stops")
-	limit, cancelLimit := context.WithTimeout(context.Background(), c.Longest+time.Second)
+	within := min(c.Longest, longestStop) + stopMargin
+	node.End(within)
+	limit, cancelLimit := context.WithTimeout(context.Background(), within+stopMargin)
 	defer cancelLimit()
 	return server.Stop(limit)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -3,7 +3,7 @@
 // Package dispatch decides, for one node, which executor gets which txn, and when a txn is given up.
 //
 // How to call it: New at start; At with the clock before each event; one call an event (List, ListFailed,
-// Arrive, Started, Progress, Ended, Left, alarm closures); Settle after a round. It acts by Door, types.go.
+// Arrive, Expire, Started, Progress, Ended, Left, alarms); Settle after a round. It acts by Door, types.go.
 package dispatch
 
 import (
@@ -135,10 +135,8 @@
 
 // List takes the list or changes to it; whole says that absent executors are gone.
 func (d *Dispatcher) List(whole bool, members []Member) {
-	for _, e := range d.fleet {
-		if whole {
-			e.State = Gone
-		}
+	for i := 0; whole && i < len(d.fleet); i++ {
+		d.fleet[i].State = Gone
 	}
 	for _, m := range members {
 		e := m.Executor
@@ -177,11 +175,17 @@
 		}
 	}
 	d.schemes[t.Scheme.Index].fade(d.now).asked += t.value
-	// Danger: a txn that is forgotten. This alarm answers it whatever else happens.
-	d.door.Alarm(t.Expiry-d.now-2*d.terms.Tick, func() { d.finish(t) })
+	d.Expire(t, t.Expiry)
 	d.enqueue(t)
 }
 
+// Expire sets when the txn has to be answered at the latest; a node that is told to end brings it forward.
+// Danger: a txn that is forgotten. This alarm answers it whatever else happens.
+func (d *Dispatcher) Expire(t *Txn, at int64) {
+	t.Expiry = min(t.Expiry, at)
+	d.door.Alarm(t.Expiry-d.now-2*d.terms.Tick, func() { d.finish(t) })
+}
+
 // overShare tells by chance whether a txn lies beyond its tenant's share, by the other tenants' arrivals.
 func (d *Dispatcher) overShare(t *Txn) bool {
 	var others, shares float64
@@ -527,12 +531,8 @@
 	s.fade(d.now).asked++
 	s.earned += float64(score) / topScore
 	d.kinds[e.kind] = s
-	if e.pooled < poolSize {
-		e.pooled++
-	} else {
-		e.sum -= int(e.pool[e.next])
-	}
-	e.pool[e.next], e.next, e.sum = score, (e.next+1)%poolSize, e.sum+int(score)
+	e.pooled, e.sum = min(e.pooled+1, poolSize), e.sum+int(score)-int(e.pool[e.next])
+	e.pool[e.next], e.next = score, (e.next+1)%poolSize
 }
 
 // Ended takes the outcome of a posting; over says that the txn has ended by it or earlier.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -351,3 +351,15 @@
 		}
 	}
 }
+
+// TestExpiryBroughtForward: a node that is told to end has to answer all that it has within less than the expiry.
+func TestExpiryBroughtForward(t *testing.T) {
+	w := newWorld(t, 1, basicTerms())
+	w.join(2, false)
+	tx := w.arrive(2, 1, 1e9, 5e9)
+	w.d.Expire(tx, w.now+4e8)
+	if w.pass(4e8); w.ended[tx] != 1 {
+		t.Fatal("not answered in time")
+	}
+	w.finish()
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"fernrail/dispatch"
+)
+
+const whole = `{"name":"n1","listen":"127.0.0.1:70","discovery":"127.0.0.2:85","seed":"8c1f","news":{"odd":[1,{"a":null}]},
+"limits":{"cores":0.5,"memory_mb":192,"sockets":1024},
+"known":{"version":4,"full":true,"servers":[
+{"id":"s-1","addr":"10.0.0.1:7","zone":"west","kind":"big","cell":3,"state":"Ready","weight":1.5,"started_ms":12}]},
+"settings":{"Dcs":["east","west"],"Skus":["small","big"],"Tick":5000000,"Odd":true,
+"Limits":{"IdleClose":60000000000,"DialTimeout":120000000,"MostPostings":3,"MayCancel":true},
+"Extra":{"ClassKind":[-1,1],"ClassStretch":[2.5,2.0]},"Tenants":[{"Name":"acme","Share":0.25}],
+"Schemes":[{"Name":"status","SlaTime":100000000,"Expiry":5000000000,"Idempotency":"idempotent"},
+{"Name":"pay","SlaTime":200000000,"Expiry":3000000000,"Idempotency":"deduplicated","Group":"cell","MemorySpan":7}]}}`
+
+func nothing(string) string { return "" }
+
+func TestWholeConfiguration(t *testing.T) {
+	n, err := parse([]byte(whole), nothing)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n.Name != "n1" || n.Seed != 0x8c1f || n.Cores != 0.5 || n.Memory != 192<<20 || n.Sockets != 1024 ||
+		n.Dial != 120*time.Millisecond || n.Idle != time.Minute || n.Longest != 5*time.Second {
+		t.Errorf("%+v", n)
+	}
+	if e := n.Known.Entries[0]; e.ID != "s-1" || e.Zone != 1 || e.Kind != 1 || e.Started != 12e6 {
+		t.Errorf("%+v", e)
+	}
+	pay, tick := n.Terms.Schemes[1], n.Terms.Tick
+	if pay.Effect != dispatch.Referenced || pay.Reach != dispatch.ReachCell || pay.Memory != 7 || pay.Kind != 1 ||
+		pay.Stretch != 2 || tick != 5e6 || !n.Terms.MayCancel || n.Terms.MayDuplicate || n.Terms.Tenants[0].Share != 0.25 {
+		t.Errorf("%+v", pay)
+	}
+}
+
+func TestEnvironmentGoesBeforeTheFile(t *testing.T) {
+	n, err := parse([]byte(whole), func(v string) string {
+		return map[string]string{"EDGE_NAME": "n9", "EDGE_LISTEN": "127.0.0.9:1"}[v]
+	})
+	if err != nil || n.Name != "n9" || n.Listen != "127.0.0.9:1" || n.Discovery != "127.0.0.2:85" {
+		t.Fatalf("%+v %v", n, err)
+	}
+}
+
+func TestFaultsNameTheKey(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{`{"name"`, `["name"`, "configuration: "},
+		{`"settings"`, `"setting"`, "settings: missing"},
+		{`"seed":"8c1f"`, `"seed":"none"`, "seed: "},
+		{`"listen":"127.0.0.1:70"`, `"listen":"here"`, "listen: "},
+		{`"memory_mb":192`, `"memory_mb":1`, "limits.memory_mb: "},
+		{`"sockets":1024`, `"sockets":"many"`, "limits.sockets: "},
+		{`"Schemes"`, `"Scheme"`, "Schemes: "},
+		{`"SlaTime":200000000`, `"SlaTime":-1`, "Schemes.1.SlaTime: "},
+		{`"SlaTime":200000000,`, ``, "Schemes.1.SlaTime: "},
+		{`"Idempotency":"idempotent"`, `"Idempotency":"perhaps"`, "Schemes.0.Idempotency: "},
+		{`[2.5,2.0]`, `[2.5,"x"]`, "Extra.ClassStretch: "},
+		{`"Share":0.25`, `"Share":"NaN"`, "Tenants.0.Share: "},
+		{`"DialTimeout":120000000`, `"DialTimeout":0`, "Limits.DialTimeout: "},
+		{`"state":"Ready"`, `"state":"Odd"`, "known: servers.0: unknown state"},
+	} {
+		text := strings.Replace(whole, c.from, c.to, 1)
+		if text == whole {
+			t.Fatalf("%s is not in the text", c.from)
+		}
+		if _, err := parse([]byte(text), nothing); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q", c.to, err, c.want)
+		}
+	}
+	if _, err := Load(nothing); err == nil || !strings.Contains(err.Error(), "EDGE_CONFIG") {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/protocol/protocol_test.go
@@ -0,0 +1,208 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package protocol
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"fernrail/dispatch"
+)
+
+var names = &Names{Zones: []string{"a", "b"}, Kinds: []string{"m1"}, Schemes: []string{"render", "pay"},
+	Tenants: []string{"acme", "globex"}}
+
+const request = "POST /pay/x?obj=7f HTTP/1.1\r\nHost: h\r\nX-Call-Id: 9b1f\r\nX-Call-Class: pay\r\nX-Caller: globex\r\n" +
+	"X-Budget-Ms: 480\r\nX-Call-Info: slots=2.5,new=1\r\nX-Call-Cost: 1500\r\nIdempotency-Key: k\r\nConnection: X-Odd\r\n" +
+	"X-Odd: 1\r\nContent-Length: 4\r\n\r\nbody"
+
+func read(t *testing.T, text string) (*Request, *Fault) {
+	t.Helper()
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Body = http.MaxBytesReader(httptest.NewRecorder(), r.Body, MaxBody)
+	return ReadRequest(r, names)
+}
+
+func TestRequest(t *testing.T) {
+	q, fault := read(t, request)
+	if fault != nil {
+		t.Fatal(fault)
+	}
+	if q.ID != "9b1f" || q.Target != "/pay/x?obj=7f" || q.Scheme != 1 || q.Tenant != 1 || q.Slots != 2.5 ||
+		q.Hint != 1.5e6 || q.Budget != 480*time.Millisecond || string(q.Body) != "body" {
+		t.Errorf("%+v", q)
+	}
+	// Danger: a mark against repeats that stays behind, or a header of the client's connection that goes on.
+	out, err := (&Job{Address: "10.0.0.1:7", Request: q, Budget: 300 * time.Millisecond}).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	out.Write(&text)
+	for _, want := range []string{"POST /pay/x?obj=7f HTTP/1.1\r\n", "X-Call-Id: 9b1f\r\n", "X-Budget-Ms: 300\r\n",
+		"Idempotency-Key: k\r\n", "Content-Length: 4\r\n", "\r\n\r\nbody"} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("%q is missing in %q", want, text.String())
+		}
+	}
+	if strings.Contains(text.String(), "X-Odd") || strings.Contains(text.String(), "User-Agent") {
+		t.Error(text.String())
+	}
+}
+
+func TestRequestFaults(t *testing.T) {
+	for _, c := range []struct {
+		from, to string
+		status   int
+	}{
+		{"POST", "GET", 405},
+		{"X-Call-Id: 9b1f\r\n", "", 400},
+		{"Class: pay", "Class: nope", 404},
+		{"Class: pay", "Class: render", 404},
+		{"/pay/x", "/-/pay", 404},
+		{"globex", "nobody", 403},
+		{"480", "soon", 400},
+		{"480", "-3", 400},
+		{"480", "99999999999999", 400},
+		{"slots=2.5", "slots=many", 400},
+		{"slots=2.5", "slots=-1", 400},
+		{"slots=2.5", "slots=NaN", 400},
+		{"Cost: 1500", "Cost: NaN", 400},
+		{"Length: 4", "Length: 9", 400},
+		{"Length: 4\r\n\r\nbody", "Length: 65537\r\n\r\n" + strings.Repeat("x", MaxBody+1), 413},
+	} {
+		if _, fault := read(t, strings.Replace(request, c.from, c.to, 1)); fault == nil || fault.Status != c.status {
+			t.Errorf("%.40s: %+v, want %d", c.to, fault, c.status)
+		}
+	}
+}
+
+func TestAnswer(t *testing.T) {
+	w := httptest.NewRecorder()
+	(&Answer{Status: 503, ReturnIn: 1500 * time.Millisecond}).Write(w)
+	if w.Code != 503 || w.Header().Get("Retry-After") != "1.5" {
+		t.Error(w)
+	}
+}
+
+func TestLines(t *testing.T) {
+	l := NewLines("j", strings.NewReader(`{"id":"j","from":"s","state":"started"}`+"\n\n"+
+		`{"id":"j","state":"running","share":0.4}`+"\n"+`{"id":"j","state":"done","result":"a\nb","load":{"util":"odd"}}`+"\n"))
+	for _, want := range []Line{{State: Started}, {State: Running, Share: 0.4}, {State: Done, Result: "a\nb"}} {
+		if got, err := l.Next(); err != nil || got != want || got.Last() != (want.State == Done) {
+			t.Errorf("%+v %v, want %+v", got, err, want)
+		}
+	}
+	if _, err := l.Next(); err == nil {
+		t.Error("no end")
+	}
+	for _, text := range []string{"", "done", `{"id":"j","state":"do`, `{"id":"k","state":"done","result":"x"}`,
+		`{"id":"j","state":"odd"}`, `{"id":"j","state":"done"}`, `{"id":"j","state":"done","result":7}`,
+		`{"id":"j","state":"running"}`, `{"id":"j","state":"running","share":-1}`, `[]`, `null`,
+		`{"state":"done","result":"x"}`} {
+		if got, err := NewLines("j", strings.NewReader(text)).Next(); err == nil {
+			t.Errorf("%s gave %+v", text, got)
+		}
+	}
+	// Danger: an executor that never ends a line, or never stops talking, takes the node's memory.
+	if _, err := NewLines("j", endless("x")).Next(); err == nil {
+		t.Error("an endless line was read")
+	}
+	l = NewLines("j", endless(`{"id":"j","state":"started"}`+"\n"))
+	for n := 0; ; n++ {
+		if _, err := l.Next(); err != nil {
+			break
+		} else if n > maxStream {
+			t.Fatal("an endless answer was read")
+		}
+	}
+}
+
+type endless string
+
+func (e endless) Read(b []byte) (int, error) {
+	n := 0
+	for n+len(e) <= len(b) {
+		n += copy(b[n:], e)
+	}
+	return n, nil
+}
+
+func FuzzLine(f *testing.F) {
+	f.Add(`{"id":"j","state":"done","result":"x"}`)
+	f.Add(`{"id":"j","state":"running","share":1e999}`)
+	f.Add("{\"id\":\"j\",\"state\":\"done\",\"result\":\"\xff\"}\x00")
+	f.Fuzz(func(t *testing.T, text string) {
+		l, err := NewLines("j", strings.NewReader(text)).Next()
+		if err != nil || l.State != Done {
+			return
+		}
+		first, _, _ := strings.Cut(strings.TrimSpace(text), "\n")
+		var said map[string]any
+		json.Unmarshal([]byte(first), &said)
+		for key, value := range said {
+			if strings.EqualFold(key, "result") && value == l.Result {
+				return
+			}
+		}
+		t.Errorf("%q gave %+v", text, l)
+	})
+}
+
+func TestTurnedAway(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		mark   string
+		want   bool
+	}{{503, "1", true}, {504, "1", true}, {503, "", false}, {500, "1", false}, {429, "1", false}, {200, "1", false}} {
+		r := &http.Response{StatusCode: c.status, Header: http.Header{"X-Rejected": {c.mark}}}
+		if TurnedAway(r) != c.want {
+			t.Errorf("%+v", c)
+		}
+	}
+}
+
+// TestBodyGoesOutOnce: a library that can wind a body back, or sees that there is none, sends again by itself.
+func TestBodyGoesOutOnce(t *testing.T) {
+	for _, body := range []string{"", "x"} {
+		out, err := (&Job{Request: &Request{Target: "/p", Body: []byte(body), Header: http.Header{}}}).Encode()
+		if err != nil || out.GetBody != nil || out.Body == nil || out.Body == http.NoBody {
+			t.Fatalf("%+v %v", out, err)
+		}
+		if _, canSeek := out.Body.(io.Seeker); canSeek {
+			t.Error("the body can be wound back")
+		}
+	}
+}
+
+const list = `{"version":41,"full":true,"new":1,"servers":[
+{"id":"s-1","addr":"10.0.0.1:7","zone":"b","kind":"m1","cell":3,"state":"Ready","weight":1.5,"started_ms":1700000000000},
+{"id":"s-2","addr":"10.0.0.2:7","zone":"odd","kind":"odd","state":"Terminating"},{"id":"s-3","state":"Gone"}]}`
+
+func TestList(t *testing.T) {
+	l, err := ReadList([]byte(list), names)
+	if err != nil || l.Version != 41 || !l.Full || len(l.Entries) != 3 {
+		t.Fatal(l, err)
+	}
+	first := Entry{ID: "s-1", Address: "10.0.0.1:7", Zone: 1, Cell: 3, Units: 1.5, Started: 17e17}
+	if l.Entries[0] != first || l.Entries[1].State != dispatch.Draining || l.Entries[1].Zone != -1 ||
+		l.Entries[2].State != dispatch.Gone {
+		t.Errorf("%+v", l.Entries)
+	}
+	for _, c := range [][2]string{{`"version":41,`, ""}, {`"full":true,`, ""}, {`"servers":[`, `"server":[`},
+		{"Ready", "ready"}, {`"id":"s-1",`, ""}, {"10.0.0.1:7", "nowhere"}, {"1700000000000", "-5"},
+		{"1700000000000", "9223372036854775807"}, {"]}", "]"}, {`"cell":3`, `"cell":"x"`}} {
+		if l, err := ReadList([]byte(strings.Replace(list, c[0], c[1], 1)), names); err == nil {
+			t.Errorf("%s for %s: %+v", c[1], c[0], l)
+		}
+	}
+}
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -16,6 +16,8 @@
 // MaxBody is how many bytes a body may hold, in either direction.
 const MaxBody = 64 << 10
 
+const tooLong = "the body is over 64 KiB"
+
 const longestBudget = time.Hour // beyond any expiry; more would overflow when counted in nanoseconds
 
 // Names are the names that the sockets use, by index in the settings' lists.
@@ -82,9 +84,12 @@
 		}
 		q.Hint = int64(micros * 1e3)
 	}
+	if r.ContentLength > MaxBody {
+		return nil, &Fault{http.StatusRequestEntityTooLarge, tooLong}
+	}
 	if q.Body, err = io.ReadAll(r.Body); err != nil {
 		if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
-			return nil, &Fault{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
+			return nil, &Fault{http.StatusRequestEntityTooLarge, tooLong}
 		}
 		return nil, &Fault{http.StatusBadRequest, "the body did not come whole"}
 	}
--- a/internal/routing/life.go
+++ b/internal/routing/life.go
@@ -3,8 +3,12 @@
 package routing
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"net/http"
+	"slices"
+	"time"
 
 	"fernrail/dispatch"
 	"fernrail/internal/protocol"
@@ -12,6 +16,7 @@
 
 // life is a txn that has no final answer yet.
 type life struct {
+	number  int // in the order of arrival
 	request *protocol.Request
 	answer  chan *protocol.Answer // holds the one final answer
 }
@@ -21,7 +26,9 @@
 	l := &life{request: q, answer: make(chan *protocol.Answer, 1)}
 	t := &dispatch.Txn{Tag: q.ID, Tenant: q.Tenant, Slots: q.Slots, Hint: q.Hint, Scheme: n.terms.Schemes[q.Scheme]}
 	err := n.event(func() {
-		t.Expiry = n.clock() + int64(q.Budget)
+		t.Expiry = min(n.clock()+int64(q.Budget), n.till)
+		n.taken++
+		l.number = n.taken
 		n.lives[t] = l
 		n.module.Arrive(t)
 	})
@@ -39,6 +46,19 @@
 	}
 }
 
+// End brings forward what is out: the node has been told to end, and all is answered within that time.
+func (n *Node) End(within time.Duration) {
+	n.event(func() {
+		n.till = n.clock() + int64(within)
+		inOrder := slices.SortedFunc(maps.Keys(n.lives), func(a, b *dispatch.Txn) int {
+			return cmp.Compare(n.lives[a].number, n.lives[b].number)
+		})
+		for _, t := range inOrder {
+			n.module.Expire(t, n.till)
+		}
+	})
+}
+
 // drop ends a txn whose client takes no answer any more.
 func (n *Node) drop(t *dispatch.Txn) {
 	if n.lives[t] != nil {
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -36,11 +37,13 @@
 	lister  Lister
 	log     zerolog.Logger
 	start   time.Time
+	version int64 // of the list; Follow alone uses it
 
 	mu      sync.Mutex // round the module and all below; never held over a write, a dial or a log line
 	module  *dispatch.Dispatcher
 	members map[string]*member
-	version int64
+	till    int64                                    // when the node ends
+	taken   int                                      // txns, ever
 	lives   map[*dispatch.Txn]*life                  // txns without a final answer
 	out     map[*dispatch.Posting]context.CancelFunc // postings without an outcome
 	watch   chan bool                                // what the module wants of the list, at most one order
@@ -54,7 +57,7 @@
 
 // New starts the module on the list as it was last known.
 func New(terms *dispatch.Terms, seed uint64, known *protocol.List, c Carrier, l Lister, log zerolog.Logger) *Node {
-	n := &Node{terms: terms, carrier: c, lister: l, log: log, start: time.Now(), members: map[string]*member{},
+	n := &Node{terms: terms, carrier: c, lister: l, log: log, start: time.Now(), till: math.MaxInt64, members: map[string]*member{},
 		lives: map[*dispatch.Txn]*life{}, out: map[*dispatch.Posting]context.CancelFunc{}, watch: make(chan bool, 1)}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,326 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package routing
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fernrail/dispatch"
+	"fernrail/internal/protocol"
+)
+
+// carrier stands in for the executors: a script says what comes of each posting. Time is that of a synctest bubble.
+type carrier struct {
+	mu     sync.Mutex
+	jobs   []*protocol.Job
+	script func(ctx context.Context, nth int, job *protocol.Job, heard func(protocol.Line)) (dispatch.Outcome, string)
+}
+
+func (c *carrier) Do(ctx context.Context, job *protocol.Job, heard func(protocol.Line),
+	ended func(dispatch.Outcome, string, error)) {
+	c.mu.Lock()
+	c.jobs = append(c.jobs, job)
+	n := len(c.jobs)
+	c.mu.Unlock()
+	o, result := c.script(ctx, n, job, heard)
+	ended(o, result, nil)
+}
+
+func (c *carrier) sent() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.jobs)
+}
+
+// wait runs a job for a time; a posting given up ends as it would on sockets.
+func wait(ctx context.Context, span time.Duration, o dispatch.Outcome) (dispatch.Outcome, string) {
+	select {
+	case <-time.After(span):
+		return o, "r"
+	case <-ctx.Done():
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return dispatch.Revoked, ""
+	}
+	return dispatch.TimedOut, ""
+}
+
+func serves(span time.Duration) func(context.Context, int, *protocol.Job, func(protocol.Line)) (dispatch.Outcome, string) {
+	return func(ctx context.Context, _ int, _ *protocol.Job, heard func(protocol.Line)) (dispatch.Outcome, string) {
+		heard(protocol.Line{State: protocol.Started})
+		return wait(ctx, span, dispatch.Settled)
+	}
+}
+
+// lister gives lists and faults in turn, and then waits.
+type lister struct {
+	answers []any
+	asked   []string
+	at      []time.Time
+}
+
+func (l *lister) Ask(ctx context.Context, since int64, whole bool) (*protocol.List, error) {
+	l.asked, l.at = append(l.asked, fmt.Sprint(since, whole)), append(l.at, time.Now())
+	if len(l.answers) == 0 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	a := l.answers[0]
+	l.answers = l.answers[1:]
+	if err, isFault := a.(error); isFault {
+		return nil, err
+	}
+	return a.(*protocol.List), nil
+}
+
+func terms() *dispatch.Terms {
+	return &dispatch.Terms{Nodes: 2, Tick: 5e6, TellsStart: true, Progress: 1e9, MostPostings: 3, MayCancel: true,
+		MayDuplicate: true, MaxReturn: 2e9, IdleClose: 1e10, AskWithin: 8e9, Schemes: []*dispatch.Scheme{
+			{SlaTime: 3e8, Stretch: 2, Value: 3, LateValue: 0.3, Kind: -1},
+			{Index: 1, SlaTime: 3e8, Stretch: 2, Value: 5, LateValue: 0.9, Kind: -1, Effect: dispatch.OnceOnly}}}
+}
+
+func entry(id string, state dispatch.State) protocol.Entry {
+	return protocol.Entry{ID: id, Address: id + ":7", State: state, Units: 1}
+}
+
+func known(ids ...string) *protocol.List {
+	l := &protocol.List{Full: true}
+	for _, id := range ids {
+		l.Entries = append(l.Entries, entry(id, dispatch.Up))
+	}
+	return l
+}
+
+func ask(id string, scheme int, budget time.Duration) *protocol.Request {
+	return &protocol.Request{ID: id, Scheme: scheme, Slots: 1, Budget: budget}
+}
+
+func TestLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &carrier{script: serves(50 * time.Millisecond)}
+		n := New(terms(), 1, known("a", "b"), c, &lister{}, zerolog.Nop())
+		if a := n.Serve(t.Context(), ask("j", 0, time.Second)); a == nil || a.Status != 200 || a.Body != "r" {
+			t.Fatalf("%+v", a)
+		}
+		if j := c.jobs[0]; c.sent() != 1 || !strings.HasSuffix(j.Address, ":7") || j.Budget != time.Second {
+			t.Errorf("%+v", j)
+		}
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if len(n.lives)+len(n.out) > 0 {
+			t.Error("something of it is kept")
+		}
+	})
+}
+
+// TestUnanswered: every txn is answered before its expiry, by a decline only where nothing can have run.
+func TestUnanswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &carrier{script: serves(time.Hour)}
+		n := New(terms(), 1, known("a", "b"), c, &lister{}, zerolog.Nop())
+		for scheme, status := range []int{503, 500} {
+			start := time.Now()
+			a := n.Serve(t.Context(), ask("j", scheme, time.Second))
+			if a == nil || a.Status != status || time.Since(start) >= time.Second {
+				t.Errorf("scheme %d: %+v after %s", scheme, a, time.Since(start))
+			}
+		}
+		synctest.Wait()
+		if len(n.out) > 0 {
+			t.Error("postings are out that nobody waits for")
+		}
+	})
+}
+
+func TestClientLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &carrier{script: serves(time.Hour)}
+		n := New(terms(), 1, known("a"), c, &lister{}, zerolog.Nop())
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, leave)
+		if a := n.Serve(ctx, ask("j", 0, 5*time.Second)); a != nil {
+			t.Errorf("%+v", a)
+		}
+		synctest.Wait()
+		if len(n.lives)+len(n.out) > 0 {
+			t.Error("the posting is still out")
+		}
+	})
+}
+
+// TestEnd: a node that is told to end answers all that it has, and what still comes, within the time it is given.
+func TestEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(terms(), 1, known("a", "b", "c"), &carrier{script: serves(time.Hour)}, &lister{}, zerolog.Nop())
+		start, done := time.Now(), make(chan *protocol.Answer, 2)
+		go func() { done <- n.Serve(t.Context(), ask("j", 1, time.Minute)) }()
+		time.Sleep(100 * time.Millisecond)
+		n.End(time.Second)
+		go func() { done <- n.Serve(t.Context(), ask("k", 1, time.Minute)) }()
+		for range 2 {
+			if a := <-done; a == nil || time.Since(start) >= 1100*time.Millisecond {
+				t.Errorf("%+v after %s", a, time.Since(start))
+			}
+		}
+	})
+}
+
+// TestPanicEndsOneStep: a fault of the module answers the txn it came with and is told with its stack; others go on.
+func TestPanicEndsOneStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		n := New(terms(), 1, known("a"), &carrier{script: serves(time.Millisecond)}, &lister{}, zerolog.New(&log))
+		broken := *n.terms
+		broken.Schemes = []*dispatch.Scheme{nil}
+		whole := n.terms
+		n.terms = &broken
+		if a := n.Serve(t.Context(), ask("j", 0, time.Second)); a == nil || a.Status != 500 {
+			t.Errorf("%+v", a)
+		}
+		if !strings.Contains(log.String(), "life.go") {
+			t.Error(log.String())
+		}
+		n.terms = whole
+		if a := n.Serve(t.Context(), ask("k", 0, time.Second)); a == nil || a.Status != 200 {
+			t.Errorf("%+v", a)
+		}
+	})
+}
+
+func TestList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &carrier{script: serves(time.Millisecond)}
+		moved := protocol.Entry{ID: "b", Address: "elsewhere:7", Units: 1}
+		l := &lister{answers: []any{
+			&protocol.List{Version: 5, Full: true, Entries: []protocol.Entry{entry("a", dispatch.Up), entry("b", dispatch.Up)}},
+			&protocol.List{Version: 6, Entries: []protocol.Entry{entry("a", dispatch.Draining), moved}},
+			errors.New("reset"),
+			&protocol.List{Version: 3, Entries: []protocol.Entry{entry("a", dispatch.Up)}},
+			&protocol.List{Version: 2, Full: true, Entries: []protocol.Entry{moved}},
+		}}
+		n := New(terms(), 1, known("old"), c, l, zerolog.Nop())
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go n.Follow(ctx)
+		time.Sleep(500 * time.Millisecond)
+		for range 20 {
+			n.Serve(t.Context(), ask("j", 0, time.Second))
+		}
+		for _, j := range c.jobs {
+			if j.Address != "elsewhere:7" {
+				t.Errorf("sent to %s", j.Address)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		if got := strings.Join(l.asked, ", "); got != "0 true, 5 false, 6 false, 6 false, 6 true, 2 false" {
+			t.Error(got)
+		}
+		// Danger: a discovery in trouble is asked again and again.
+		if pause := l.at[3].Sub(l.at[2]); pause != time.Second {
+			t.Error(pause)
+		}
+		if len(n.members) != 1 || n.members["b"] == nil {
+			t.Error(n.members)
+		}
+		stop()
+	})
+}
+
+// FuzzRules holds the node to the rules through random lives, answers, departures and changes of the list.
+func FuzzRules(f *testing.F) {
+	for seed := range uint64(12) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed uint64) {
+		synctest.Test(t, func(t *testing.T) { random(t, rand.New(rand.NewPCG(seed, 2))) })
+	})
+}
+
+func random(t *testing.T, r *rand.Rand) {
+	var mu sync.Mutex // round all below
+	dice := func(n int) int { mu.Lock(); defer mu.Unlock(); return r.IntN(n) }
+	stopped, answered, mayRun := map[string]time.Time{}, map[string]bool{}, map[string]bool{}
+	c := &carrier{}
+	c.script = func(ctx context.Context, _ int, job *protocol.Job, heard func(protocol.Line)) (dispatch.Outcome, string) {
+		id := job.Request.ID
+		mu.Lock()
+		if at, is := stopped[job.Address]; is && time.Since(at) > 0 {
+			t.Error("rule 3: posting to an executor that drains or is gone")
+		}
+		if answered[id] && ctx.Err() == nil {
+			t.Error("rule 1: posting after the final answer")
+		}
+		if mayRun[id] && job.Request.Scheme == 1 {
+			t.Error("rule 2: a once-only txn goes again")
+		}
+		mayRun[id] = true
+		mu.Unlock()
+		if dice(3) > 0 {
+			heard(protocol.Line{State: protocol.Started})
+		}
+		o, result := wait(ctx, time.Duration(dice(1500))*time.Millisecond, dispatch.Outcome(dice(int(dispatch.Unsent)+1)))
+		if o == dispatch.Full || o == dispatch.Undialed || o == dispatch.Unsent {
+			mu.Lock()
+			mayRun[id] = false
+			mu.Unlock()
+		}
+		return o, result
+	}
+	ids := []string{"a", "b", "c", "d"}
+	n := New(terms(), r.Uint64(), known(ids...), c, &lister{}, zerolog.Nop())
+	var lives sync.WaitGroup
+	for i := range 60 {
+		time.Sleep(time.Duration(dice(100)) * time.Millisecond)
+		if dice(5) == 0 {
+			e := entry(ids[dice(len(ids))], dispatch.State(dice(3)))
+			n.event(func() {
+				mu.Lock()
+				defer mu.Unlock()
+				if delete(stopped, e.Address); e.State != dispatch.Up {
+					stopped[e.Address] = time.Now()
+				}
+				n.listed(&protocol.List{Entries: []protocol.Entry{e}})
+			})
+		}
+		id, scheme, budget := fmt.Sprint(i), dice(2), time.Duration(dice(3000)+20)*time.Millisecond
+		ctx, leave := context.WithCancel(t.Context())
+		if dice(8) == 0 {
+			time.AfterFunc(time.Duration(dice(800))*time.Millisecond, leave)
+		}
+		lives.Go(func() {
+			defer leave()
+			start := time.Now()
+			a := n.Serve(ctx, ask(id, scheme, budget))
+			mu.Lock()
+			defer mu.Unlock()
+			if answered[id] = true; a == nil && ctx.Err() == nil {
+				t.Error("rule 1: no answer")
+			}
+			if time.Since(start) > budget {
+				t.Error("rule 1: answered late")
+			}
+			if a != nil && a.Status == 503 && scheme == 1 && mayRun[id] {
+				t.Error("rule 2: declined though it may have run")
+			}
+		})
+	}
+	lives.Wait()
+	time.Sleep(time.Minute)
+	synctest.Wait()
+	if len(n.lives)+len(n.out) > 0 {
+		t.Errorf("%d txns and %d postings are left", len(n.lives), len(n.out))
+	}
+}
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -47,7 +47,7 @@
 	}
 	for d.free[of] <= least && d.idle[of].Len() > 0 {
 		c := d.idle[of].Remove(d.idle[of].Front()).(*conn)
-		c.at = nil
+		c.at, c.yielded = nil, true
 		d.mu.Unlock()
 		c.Close()
 		d.mu.Lock()
@@ -59,7 +59,7 @@
 	return true
 }
 
-// short says whether clients are down to the spare places.
+// short says whether clients have come to the spare places.
 func (d *Descriptors) short() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -78,15 +78,24 @@
 	}
 }
 
-// rest marks a connection as idle or busy.
-func (d *Descriptors) rest(c *conn, idle bool) {
+// busy marks a connection as in use and numbers the use.
+func (d *Descriptors) busy(c *conn) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if c.at != nil {
 		d.idle[c.of].Remove(c.at)
 		c.at = nil
 	}
-	if idle && !c.closed {
+	c.uses++
+	return c.uses
+}
+
+// rest marks a connection as idle after a use.
+// Danger: the library tells late that a connection rests; by then the next request may have it.
+func (d *Descriptors) rest(c *conn, use int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if use == c.uses && c.at == nil && !c.closed {
 		c.at = d.idle[c.of].PushBack(c)
 	}
 }
@@ -97,8 +106,12 @@
 	net.Conn
 	owner  *Descriptors
 	of     side
+	spare  bool          // a client's that can only be turned away
 	at     *list.Element // in idle; under owner.mu
-	closed bool          // under owner.mu
+	uses   int           // under owner.mu, as are the next two
+	closed bool
+	// yielded: closed to make room, when it may just have been taken for a request
+	yielded bool
 
 	writing sync.Mutex
 	begun   bool // a write since the request was given this connection
@@ -142,13 +155,17 @@
 	c.writing.Unlock()
 }
 
-// unsent ends the connection and says whether the request's last byte was never written to it.
+// unsent ends the connection and says whether the request's last byte was never written to it, and whether that was
+// this node's own doing.
 // Danger: a hook that has not fired yet is no proof; the library may write while this looks. So nothing more is
 // let through first, and a write that is under way is waited for.
-func (c *conn) unsent() bool {
+func (c *conn) unsent() (never, yielded bool) {
 	c.Close()
 	c.writing.Lock()
-	defer c.writing.Unlock()
 	c.sealed = true
-	return !c.begun || c.cut
+	never = !c.begun || c.cut
+	c.writing.Unlock()
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	return never, c.yielded
 }
--- a/internal/transport/executors.go
+++ b/internal/transport/executors.go
@@ -39,7 +39,9 @@
 				d.give(executors)
 				return nil, err
 			}
-			return &conn{Conn: c, owner: d, of: executors}, nil
+			fresh := &conn{Conn: c, owner: d, of: executors}
+			d.rest(fresh, 0) // its request may have found another meanwhile
+			return fresh, nil
 		},
 		// Danger: a request written to a connection as the executor closes it may have run. Ours end first.
 		IdleConnTimeout:     max(idle-idle/5, time.Millisecond),
@@ -62,16 +64,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var used *conn
+	var use int
 	trace := &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			if used, _ = i.Conn.(*conn); used != nil {
-				used.owner.rest(used, false)
-				used.start()
-			}
+			used = i.Conn.(*conn)
+			use = used.owner.busy(used)
+			used.start()
 		},
 		PutIdleConn: func(err error) {
 			if err == nil {
-				used.owner.rest(used, true)
+				used.owner.rest(used, use)
 			}
 		},
 	}
@@ -145,7 +147,14 @@
 	case givenUp(ctx) != dispatch.Settled:
 		return givenUp(ctx)
 	// The library tells of a connection before it writes to it, in the same goroutine as the call.
-	case used == nil || used.unsent():
+	case used == nil:
+		return dispatch.Undialed
+	}
+	never, yielded := used.unsent()
+	switch {
+	case never && yielded:
+		return dispatch.Unsent
+	case never:
 		return dispatch.Undialed
 	}
 	return dispatch.Broken
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -18,6 +18,10 @@
 const (
 	// slowest is how long a client may take to hand a request in, from its first byte on.
 	slowest = 10 * time.Second
+	// unused is how long a client may keep a connection without a request on it.
+	unused = 2 * time.Minute
+	// reading is how long a client may take to read its answer.
+	reading = 5 * time.Second
 	// quiet is how long new connections may go on coming after the order to stop, and some more.
 	quiet = 500 * time.Millisecond
 )
@@ -37,16 +41,25 @@
 
 func NewServer(d *Descriptors, names *protocol.Names, serve Serve, ready func() bool, l zerolog.Logger) *Server {
 	s := &Server{descriptors: d, names: names, serve: serve, ready: ready, log: l}
-	s.http = &http.Server{Handler: s, ReadTimeout: slowest, MaxHeaderBytes: 16 << 10,
+	s.http = &http.Server{Handler: s, ReadTimeout: slowest, IdleTimeout: unused, MaxHeaderBytes: 16 << 10,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, spareKey{}, c.(*conn).spare)
+		},
 		ErrorLog: log.New(l.With().Str("part", "net/http").Logger(), "", 0),
 		ConnState: func(c net.Conn, state http.ConnState) {
-			if state == http.StateIdle || state == http.StateActive {
-				d.rest(c.(*conn), state == http.StateIdle)
+			switch c := c.(*conn); state {
+			case http.StateActive:
+				d.busy(c)
+			case http.StateIdle:
+				d.rest(c, c.uses)
 			}
 		}}
 	return s
 }
 
+// spareKey finds in a request's context whether its connection is a spare one.
+type spareKey struct{}
+
 // listener gives each connection its place in the budget before it is accepted.
 type listener struct {
 	net.Listener
@@ -59,12 +72,13 @@
 	for !l.descriptors.take(clients) {
 		<-l.descriptors.wake
 	}
+	spare := l.descriptors.short()
 	c, err := l.Listener.Accept()
 	if err != nil {
 		l.descriptors.give(clients)
 		return nil, err
 	}
-	return &conn{Conn: c, owner: l.descriptors, of: clients}, nil
+	return &conn{Conn: c, owner: l.descriptors, of: clients, spare: spare}, nil
 }
 
 // Run serves until Stop.
@@ -105,13 +119,14 @@
 	}
 	// Danger: the time limit for handing in would end the wait for the answer too, and look like a client's leaving.
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
-	if s.descriptors.short() {
+	if r.Context().Value(spareKey{}).(bool) {
 		s.log.Warn().Msg("descriptors are short: declined at the door")
 		w.Header().Set("Connection", "close")
 		(&protocol.Answer{Status: http.StatusServiceUnavailable}).Write(w)
 		return
 	}
 	if answer := s.serve(r.Context(), q); answer != nil {
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(reading))
 		answer.Write(w)
 	}
 }
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,453 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package transport
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fernrail/dispatch"
+	"fernrail/internal/protocol"
+)
+
+// executor is a stand-in on loopback: it reads each request that comes and lets a script answer it.
+type executor struct {
+	net.Listener
+	mu       sync.Mutex
+	accepted int
+	requests int
+	closed   chan struct{} // one entry for each connection that the node closed
+}
+
+func (e *executor) seen() (accepted, requests int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.accepted, e.requests
+}
+
+// play answers by script; one that returns false ends the connection.
+func play(t *testing.T, script func(c net.Conn, nth int) bool) *executor {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &executor{Listener: l, closed: make(chan struct{}, 100)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			e.mu.Lock()
+			e.accepted++
+			e.mu.Unlock()
+			go func() {
+				defer c.Close()
+				for in := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(in)
+					if err == nil {
+						_, err = io.Copy(io.Discard, r.Body)
+					}
+					if err != nil {
+						e.closed <- struct{}{}
+						return
+					}
+					e.mu.Lock()
+					e.requests++
+					n := e.requests
+					e.mu.Unlock()
+					if !script(c, n) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return e
+}
+
+const (
+	head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	end  = "0\r\n\r\n"
+)
+
+func chunk(line string) string { return fmt.Sprintf("%x\r\n%s\n\r\n", len(line)+1, line) }
+
+func line(state string) string {
+	return chunk(`{"id":"j","from":"s","state":"` + state + `","share":0.5,"result":"r"}`)
+}
+
+// says answers every request with the same text.
+func says(text string, keep bool) func(net.Conn, int) bool {
+	return func(c net.Conn, _ int) bool { io.WriteString(c, text); return keep }
+}
+
+type ending struct {
+	outcome dispatch.Outcome
+	result  string
+	heard   []protocol.State
+}
+
+func do(ctx context.Context, x *Executors, address string) (e ending) {
+	job := &protocol.Job{Address: address, Budget: time.Second, Request: &protocol.Request{ID: "j", Target: "/p",
+		Header: http.Header{"X-Call-Id": {"j"}, "Idempotency-Key": {"k"}}, Body: []byte("b")}}
+	ends := 0
+	x.Do(ctx, job, func(l protocol.Line) { e.heard = append(e.heard, l.State) },
+		func(o dispatch.Outcome, result string, _ error) { e.outcome, e.result, ends = o, result, ends+1 })
+	if ends != 1 {
+		panic("a posting has exactly one end")
+	}
+	return e
+}
+
+func fresh() (*Descriptors, *Executors) {
+	d := NewDescriptors(1024)
+	return d, NewExecutors(d, time.Second, time.Minute)
+}
+
+func TestOutcomesByWhatIsProved(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		want dispatch.Outcome
+	}{
+		"done":                 {head + line("started") + line("running") + line("done") + end, dispatch.Settled},
+		"done, bytes after":    {head + line("done") + chunk("more") + line("failed") + end, dispatch.Settled},
+		"failed":               {head + line("started") + line("failed") + end, dispatch.Erred},
+		"500":                  {"HTTP/1.1 500 Odd\r\nContent-Length: 0\r\n\r\n", dispatch.Erred},
+		"503 with the mark":    {"HTTP/1.1 503 Full\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", dispatch.Full},
+		"503 without the mark": {"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", dispatch.Erred},
+		"redirect":             {"HTTP/1.1 307 Away\r\nLocation: /q\r\nContent-Length: 0\r\n\r\n", dispatch.Erred},
+		"returned":             {head + line("returned") + end, dispatch.Full},
+		"lost":                 {head + line("started") + line("lost") + end, dispatch.Broken},
+		"ends early":           {head + line("started") + end, dispatch.Broken},
+		"breaks":               {head + line("started"), dispatch.Broken},
+		"breaks within a line": {head + "40\r\n{\"id\":\"j\",\"state\":\"do", dispatch.Broken},
+		"foreign":              {head + chunk(`{"id":"k","state":"done","result":"r"}`) + end, dispatch.Broken},
+		"not HTTP":             {"hello\r\n\r\n", dispatch.Broken},
+		"nothing, then closed": {"", dispatch.Broken},
+	} {
+		e := play(t, says(c.text, false))
+		_, x := fresh()
+		got := do(t.Context(), x, e.Addr().String())
+		if got.outcome != c.want || (got.result == "r") != (c.want == dispatch.Settled) {
+			t.Errorf("%s: %+v, want %d", name, got, c.want)
+		}
+		if _, requests := e.seen(); requests != 1 {
+			t.Errorf("%s: %d requests", name, requests)
+		}
+	}
+}
+
+func TestNoConnection(t *testing.T) {
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	address := l.Addr().String()
+	l.Close()
+	d, x := fresh()
+	before := d.free
+	if got := do(t.Context(), x, address); got.outcome != dispatch.Undialed {
+		t.Errorf("%+v", got)
+	}
+	if d.free != before {
+		t.Error("a place in the budget is gone")
+	}
+}
+
+// TestUnsentProof: a write cut short, and a connection that nothing was written to, prove that a request never ran.
+func TestUnsentProof(t *testing.T) {
+	for name, c := range map[string]struct {
+		use  func(c *conn, peer net.Conn)
+		want bool
+	}{
+		"nothing written": {func(c *conn, _ net.Conn) {}, true},
+		"written":         {func(c *conn, peer net.Conn) { go io.ReadFull(peer, make([]byte, 3)); c.Write([]byte("abc")) }, false},
+		"cut short":       {func(c *conn, peer net.Conn) { go cut(peer); c.Write([]byte("abc")) }, true},
+		"second part cut": {func(c *conn, peer net.Conn) {
+			go func() { io.ReadFull(peer, make([]byte, 3)); cut(peer) }()
+			c.Write([]byte("abc"))
+			c.Write([]byte("def"))
+		}, true},
+	} {
+		near, far := net.Pipe()
+		u := &conn{Conn: near, owner: NewDescriptors(64), of: executors}
+		u.start()
+		c.use(u, far)
+		if never, _ := u.unsent(); never != c.want {
+			t.Errorf("%s: %v", name, never)
+		}
+		if _, err := u.Write([]byte("late")); err == nil {
+			t.Errorf("%s: written after the proof", name)
+		}
+	}
+}
+
+func cut(c net.Conn) { io.ReadFull(c, make([]byte, 1)); c.Close() }
+
+// TestConnectionsAreKeptAndClosed: an answer read to its end gives its connection back, a posting given up closes it.
+func TestConnectionsAreKeptAndClosed(t *testing.T) {
+	withdraw := make(chan context.CancelFunc, 1)
+	e := play(t, func(c net.Conn, nth int) bool {
+		if nth < 3 {
+			io.WriteString(c, head+line("done")+end)
+			return true
+		}
+		io.WriteString(c, head+line("started"))
+		(<-withdraw)()
+		return true
+	})
+	d, x := fresh()
+	do(t.Context(), x, e.Addr().String())
+	do(t.Context(), x, e.Addr().String())
+	if accepted, _ := e.seen(); accepted != 1 || d.idle[executors].Len() != 1 {
+		t.Errorf("%d connections, %d idle", accepted, d.idle[executors].Len())
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	withdraw <- cancel
+	if got := do(ctx, x, e.Addr().String()); got.outcome != dispatch.Revoked {
+		t.Errorf("%+v", got)
+	}
+	<-e.closed
+}
+
+func TestTimeOut(t *testing.T) {
+	e := play(t, says(head+line("started"), true))
+	_, x := fresh()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if got := do(ctx, x, e.Addr().String()); got.outcome != dispatch.TimedOut {
+		t.Errorf("%+v", got)
+	}
+	<-e.closed
+}
+
+// TestNothingIsSentAgain: the executor takes a request on a kept connection and breaks it.
+// Danger: the library sends a request with a mark against repeats again by itself.
+func TestNothingIsSentAgain(t *testing.T) {
+	e := play(t, func(c net.Conn, nth int) bool {
+		if nth == 1 {
+			io.WriteString(c, head+line("done")+end)
+		}
+		return nth == 1
+	})
+	_, x := fresh()
+	do(t.Context(), x, e.Addr().String())
+	got := do(t.Context(), x, e.Addr().String())
+	if accepted, requests := e.seen(); got.outcome != dispatch.Broken || accepted != 1 || requests != 2 {
+		t.Errorf("%+v, %d connections, %d requests", got, accepted, requests)
+	}
+}
+
+// TestBudget: the longest idle connection gives way; without one the posting never leaves.
+func TestBudget(t *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	slow := play(t, func(c net.Conn, _ int) bool { io.WriteString(c, head+line("started")); <-hold; return false })
+	quick := play(t, says(head+line("done")+end, true))
+	d, x := fresh()
+	d.free[executors] = 1
+	if got := do(t.Context(), x, quick.Addr().String()); got.outcome != dispatch.Settled {
+		t.Fatalf("%+v", got)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	out := make(chan ending)
+	go func() { out <- do(ctx, x, slow.Addr().String()) }()
+	<-quick.closed // gave way
+	for {
+		if _, requests := slow.seen(); requests == 1 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if got := do(t.Context(), x, quick.Addr().String()); got.outcome != dispatch.Unsent {
+		t.Errorf("%+v", got)
+	}
+	cancel()
+	<-out
+}
+
+// TestRestIsOfTheLastUse: word that a connection rests comes late, when the next request has it already.
+func TestRestIsOfTheLastUse(t *testing.T) {
+	d := NewDescriptors(64)
+	near, _ := net.Pipe()
+	c := &conn{Conn: near, owner: d, of: executors}
+	first := d.busy(c)
+	second := d.busy(c)
+	if d.rest(c, first); d.idle[executors].Len() != 0 {
+		t.Error("a connection in use counts as idle")
+	}
+	if d.rest(c, second); d.idle[executors].Len() != 1 {
+		t.Error("an idle connection is not known")
+	}
+}
+
+// node is the clients' side on a loopback address.
+func node(t *testing.T, d *Descriptors, serve Serve, adjust ...func(*http.Server)) (*Server, string) {
+	names := &protocol.Names{Schemes: []string{"pay"}}
+	s := NewServer(d, names, serve, func() bool { return true }, zerolog.Nop())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, a := range adjust {
+		a(s.http)
+	}
+	go s.http.Serve(&listener{l, d})
+	t.Cleanup(func() { s.http.Close() })
+	return s, l.Addr().String()
+}
+
+const ask = "POST /pay HTTP/1.1\r\nHost: h\r\nX-Call-Id: j\r\nX-Call-Class: pay\r\nX-Budget-Ms: 900\r\nContent-Length: 1\r\n\r\n"
+
+// call opens a connection and writes to it.
+func call(t *testing.T, address, text string) net.Conn {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	io.WriteString(c, text)
+	return c
+}
+
+func answer(t *testing.T, c net.Conn) *http.Response {
+	t.Helper()
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func settled(context.Context, *protocol.Request) *protocol.Answer {
+	return &protocol.Answer{Status: 200, Body: "r"}
+}
+
+func TestServer(t *testing.T) {
+	_, address := node(t, NewDescriptors(1024), settled)
+	for text, want := range map[string]int{
+		ask + "b": 200,
+		"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n":            200,
+		strings.Replace(ask, "pay", "odd", 1) + "b":           404,
+		strings.Replace(ask, "POST", "PUT", 1) + "b":          405,
+		strings.Replace(ask, "Host: h", "Host h", 1) + "b":    400,
+		strings.Replace(ask, "Length: 1", "Length: 70000", 1): 413,
+	} {
+		if got := answer(t, call(t, address, text)); got.StatusCode != want {
+			t.Errorf("%.40q: %d, want %d", text, got.StatusCode, want)
+		}
+	}
+}
+
+// TestClientLeaves: the wait for an answer ends when the client goes, and not when the time to hand in is over.
+func TestClientLeaves(t *testing.T) {
+	taken, left := make(chan struct{}), make(chan struct{})
+	_, address := node(t, NewDescriptors(1024), func(ctx context.Context, _ *protocol.Request) *protocol.Answer {
+		select {
+		case taken <- struct{}{}:
+			<-ctx.Done()
+			close(left)
+		case <-time.After(150 * time.Millisecond):
+			if ctx.Err() != nil {
+				t.Error("seen as left")
+			}
+		}
+		return &protocol.Answer{Status: 200}
+	}, func(h *http.Server) { h.ReadTimeout = 50 * time.Millisecond })
+	if got := answer(t, call(t, address, ask+"b")); got.StatusCode != 200 {
+		t.Error(got)
+	}
+	c := call(t, address, ask+"b")
+	<-taken
+	c.Close()
+	<-left
+}
+
+// TestShortOfDescriptors: a connection beyond the budget is answered at once, not left unread.
+func TestShortOfDescriptors(t *testing.T) {
+	taken, hold := make(chan struct{}), make(chan struct{})
+	d := NewDescriptors(1024)
+	d.free[clients], d.spare = 2, 1
+	_, address := node(t, d, func(context.Context, *protocol.Request) *protocol.Answer {
+		taken <- struct{}{}
+		<-hold
+		return &protocol.Answer{Status: 200}
+	})
+	first := call(t, address, ask+"b")
+	<-taken
+	second := call(t, address, ask+"b")
+	if got := answer(t, second); got.StatusCode != 503 || !got.Close {
+		t.Errorf("%+v", got)
+	}
+	close(hold)
+	if got := answer(t, first); got.StatusCode != 200 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// TestStop: what was taken is answered, what still comes is taken, kept connections close between requests.
+func TestStop(t *testing.T) {
+	taken, hold := make(chan struct{}), make(chan struct{})
+	s, address := node(t, NewDescriptors(1024), func(context.Context, *protocol.Request) *protocol.Answer {
+		taken <- struct{}{}
+		<-hold
+		return &protocol.Answer{Status: 200}
+	})
+	first := call(t, address, ask+"b")
+	<-taken
+	stopped := make(chan error)
+	go func() { stopped <- s.Stop(context.Background()) }()
+	second := call(t, address, ask+"b")
+	<-taken
+	close(hold)
+	for _, c := range []net.Conn{first, second} {
+		if got := answer(t, c); got.StatusCode != 200 {
+			t.Errorf("%+v", got)
+		}
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestDiscovery(t *testing.T) {
+	answers := []string{`{"version":4,"full":true,"servers":[]}`, `{"version":5,"full":false,"servers":[]}`, "odd"}
+	var asked []string
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if asked = append(asked, r.URL.String()); len(asked) > len(answers) {
+			w.WriteHeader(500)
+			return
+		}
+		io.WriteString(w, answers[len(asked)-1])
+	})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(l)
+	defer s.Close()
+	d := NewDiscovery(l.Addr().String(), &protocol.Names{})
+	if list, err := d.Ask(t.Context(), 0, true); err != nil || list.Version != 4 || !list.Full {
+		t.Error(list, err)
+	}
+	if list, err := d.Ask(t.Context(), 4, false); err != nil || list.Version != 5 {
+		t.Error(list, err)
+	}
+	for range 2 {
+		if list, err := d.Ask(t.Context(), 5, false); err == nil {
+			t.Error(list)
+		}
+	}
+	if asked[0] != "/api/targets" || asked[1] != "/api/targets?since=4&timeout_ms=3000" {
+		t.Error(asked)
+	}
+}
