Never close a client's connection while its next request is being read

Cause: net/http calls a connection idle until a whole header is read, so both Descriptors.take and http.Server's own closing of idle connections (at the end of a node) can close one whose request has been taken off the wire. Ruled out: the spare connections, which answer before they close, and the kernel's queue (0 not taken). Now a client's connection counts as in use from its first byte (conn.Read), is only waked when it has to give way (Descriptors.yield), and Stop no longer uses Shutdown. Tests: TestYieldSparesARequestBeingRead, TestIdleClientsGiveWay.

--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -58,8 +58,10 @@
 	defer cancel()
 	go node.Follow(follow)
 
-	ended := make(chan error, 1)
-	go func() { ended <- server.Run(c.Listen) }()
+	ended, err := server.Open(c.Listen)
+	if err != nil {
+		return err
+	}
 	log.Info().Str("listen", c.Listen).Int("executors", len(c.Known.Entries)).Msg("node serves")
 	select {
 	case err := <-ended:
@@ -71,5 +73,8 @@
 	node.End(within)
 	limit, cancelLimit := context.WithTimeout(context.Background(), within+stopMargin)
 	defer cancelLimit()
-	return server.Stop(limit)
+	if err := server.Stop(limit); err != nil {
+		log.Warn().Err(err).Msg("ends with clients connected")
+	}
+	return nil
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -124,7 +124,7 @@
 	d := &Dispatcher{terms: terms, door: door, born: now, now: now, chance: pcg(seed),
 		recent: map[family][]last{}, sizes: map[int]float64{}, kinds: map[int]ledger{},
 		all: Executor{limit: math.MaxInt32}, starts: map[bool]*ledger{true: {}, false: {}},
-		runs:   make([]spread, len(terms.Schemes)), tenants: make([]ledger, len(terms.Tenants)),
+		runs: make([]spread, len(terms.Schemes)), tenants: make([]ledger, len(terms.Tenants)),
 		schemes: make([]ledger, len(terms.Schemes))}
 	if terms.Subscribe {
 		door.Watch(true)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -4,10 +4,10 @@
 
 import (
 	"context"
-	"errors"
 	"log"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -37,9 +37,13 @@
 	ready       func() bool
 	log         zerolog.Logger
 	http        *http.Server
+	listener    net.Listener
+	stopping    atomic.Bool
 }
 
 func NewServer(d *Descriptors, names *protocol.Names, serve Serve, ready func() bool, l zerolog.Logger) *Server {
+	// Danger: a node in trouble that spends its core on telling so.
+	l = l.Sample(&zerolog.LevelSampler{WarnSampler: &zerolog.BurstSampler{Burst: 10, Period: time.Second}})
 	s := &Server{descriptors: d, names: names, serve: serve, ready: ready, log: l}
 	s.http = &http.Server{Handler: s, ReadTimeout: slowest, IdleTimeout: unused, MaxHeaderBytes: 16 << 10,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
@@ -47,10 +51,7 @@
 		},
 		ErrorLog: log.New(l.With().Str("part", "net/http").Logger(), "", 0),
 		ConnState: func(c net.Conn, state http.ConnState) {
-			switch c := c.(*conn); state {
-			case http.StateActive:
-				d.busy(c)
-			case http.StateIdle:
+			if c := c.(*conn); state == http.StateIdle {
 				d.rest(c, c.uses)
 			}
 		}}
@@ -72,32 +73,35 @@
 	for !l.descriptors.take(clients) {
 		<-l.descriptors.wake
 	}
-	spare := l.descriptors.short()
 	c, err := l.Listener.Accept()
 	if err != nil {
 		l.descriptors.give(clients)
 		return nil, err
 	}
-	return &conn{Conn: c, owner: l.descriptors, of: clients, spare: spare}, nil
+	return &conn{Conn: c, owner: l.descriptors, of: clients, spare: l.descriptors.short()}, nil
 }
 
-// Run serves until Stop.
-func (s *Server) Run(address string) error {
+// Open starts to listen and to serve; what ends that before Stop comes out of the channel.
+func (s *Server) Open(address string) (<-chan error, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return err
-	}
-	if err := s.http.Serve(&listener{l, s.descriptors}); !errors.Is(err, http.ErrServerClosed) {
-		return err
+		return nil, err
 	}
-	return nil
+	s.listener = l
+	ended := make(chan error, 1)
+	go func() { ended <- s.http.Serve(&listener{l, s.descriptors}) }()
+	return ended, nil
 }
 
 // Stop takes what still comes for a while, answers all that was taken and ends. Connections close between requests.
+// Danger: http.Server's own Shutdown closes connections whose next request is just being read.
 func (s *Server) Stop(ctx context.Context) error {
-	s.http.SetKeepAlivesEnabled(false)
+	s.stopping.Store(true)
+	s.descriptors.retire()
 	time.Sleep(quiet)
-	return s.http.Shutdown(ctx)
+	s.listener.Close()
+	s.descriptors.retire()
+	return s.descriptors.empty(ctx)
 }
 
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -124,6 +128,9 @@
 		return
 	}
 	if answer := s.serve(r.Context(), q); answer != nil {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(reading))
 		answer.Write(w)
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -317,16 +317,14 @@
 func node(t *testing.T, d *Descriptors, serve Serve, adjust ...func(*http.Server)) (*Server, string) {
 	names := &protocol.Names{Schemes: []string{"pay"}}
 	s := NewServer(d, names, serve, func() bool { return true }, zerolog.Nop())
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	for _, a := range adjust {
 		a(s.http)
 	}
-	go s.http.Serve(&listener{l, d})
+	if _, err := s.Open("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
 	t.Cleanup(func() { s.http.Close() })
-	return s, l.Addr().String()
+	return s, s.listener.Addr().String()
 }
 
 const ask = "POST /pay HTTP/1.1\r\nHost: h\r\nX-Call-Id: j\r\nX-Call-Class: pay\r\nX-Budget-Ms: 900\r\nContent-Length: 1\r\n\r\n"
@@ -433,6 +431,46 @@
 	}
 }
 
+// TestYieldSparesARequestBeingRead: a connection told to make room whose next request is being read serves it first.
+func TestYieldSparesARequestBeingRead(t *testing.T) {
+	d := NewDescriptors(1024)
+	_, address := node(t, d, settled)
+	c := call(t, address, ask+"b")
+	if got := answer(t, c); got.StatusCode != 200 {
+		t.Fatal(got)
+	}
+	half := len(ask) / 2
+	io.WriteString(c, ask[:half])
+	for read := 0; read == 0; time.Sleep(time.Millisecond) { // until its first bytes are read
+		d.mu.Lock()
+		read = 1 - d.idle[clients].Len()
+		d.mu.Unlock()
+	}
+	d.retire()
+	io.WriteString(c, ask[half:]+"b")
+	if got := answer(t, c); got.StatusCode != 200 {
+		t.Error(got)
+	}
+}
+
+// TestIdleClientsGiveWay: a connection that rests is closed for a new one, which is served.
+func TestIdleClientsGiveWay(t *testing.T) {
+	d := NewDescriptors(1024)
+	d.free[clients], d.spare = 3, 2
+	_, address := node(t, d, settled)
+	for range 20 {
+		c := call(t, address, ask+"b")
+		if got := answer(t, c); got.StatusCode != 200 {
+			t.Fatal(got)
+		}
+		for resting := 0; resting == 0; time.Sleep(time.Millisecond) {
+			d.mu.Lock()
+			resting = d.idle[clients].Len() + d.yielding
+			d.mu.Unlock()
+		}
+	}
+}
+
 // TestStop: what was taken is answered, what still comes is taken, kept connections close between requests.
 func TestStop(t *testing.T) {
 	taken, hold := make(chan struct{}), make(chan struct{})
