A client's connection that gives way stays awake until it is closed

Read beside net/http's serve loop: it sets the limit for idle connections right after it calls one idle, which undid the order to give way; at the end of a node such a connection stayed open until the process ended. conn.SetReadDeadline now leaves a yielding connection alone, and one that is served after all gets its limit back. At least one spare place also where the budget is tiny. Test: TestYieldIsNotUndone, seen to fail.

--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -39,7 +39,7 @@
 
 func NewDescriptors(sockets int) *Descriptors {
 	half := max(sockets-reserve, 4) / 2
-	return &Descriptors{free: [2]int{half, half}, spare: half / 8, wake: make(chan struct{}, 1)}
+	return &Descriptors{free: [2]int{half, half}, spare: max(half/8, 1), wake: make(chan struct{}, 1)}
 }
 
 // take asks for a place; where none is left an idle connection has to give way.
@@ -128,6 +128,7 @@
 	if c.yielded && c.of == clients {
 		c.yielded = false
 		d.yielding--
+		c.Conn.SetReadDeadline(time.Time{})
 	}
 }
 
@@ -214,6 +215,17 @@
 	return n, err
 }
 
+// SetReadDeadline keeps a connection awake that has to give way.
+// Danger: the server sets its own limit for idle ones just after it calls one idle, and would wait on.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.yielded && c.of == clients {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // CloseWrite lets the server send an answer to a request that it did not read to its end.
 func (c *conn) CloseWrite() error {
 	if half, can := c.Conn.(interface{ CloseWrite() error }); can {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -453,6 +453,25 @@
 	}
 }
 
+// TestYieldIsNotUndone: the server sets its limit for idle connections after it has called one idle.
+func TestYieldIsNotUndone(t *testing.T) {
+	d := NewDescriptors(64)
+	near, far := net.Pipe()
+	c := &conn{Conn: near, owner: d, of: clients}
+	d.rest(c, d.busy(c))
+	d.retire()
+	start := time.Now()
+	c.SetReadDeadline(start.Add(5 * time.Second))
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(start) > 2*time.Second {
+		t.Fatal(err, time.Since(start))
+	}
+	d.busy(c) // had its request's first byte come before
+	go far.Write([]byte("x"))
+	if _, err := c.Read(make([]byte, 1)); err != nil || d.yielding != 0 {
+		t.Error(err, d.yielding)
+	}
+}
+
 // TestIdleClientsGiveWay: a connection that rests is closed for a new one, which is served.
 func TestIdleClientsGiveWay(t *testing.T) {
 	d := NewDescriptors(1024)
