--- a/internal/transport/executors.go
+++ b/internal/transport/executors.go
@@ -47,7 +47,7 @@
 		IdleConnTimeout:     max(idle-idle/5, time.Millisecond),
 		MaxIdleConnsPerHost: 1 << 20, // the descriptor budget is the limit
 		DisableCompression:  true,
-		WriteBufferSize:     protocol.MaxBody + 4096, // a request goes out in one write
+		WriteBufferSize:     8 << 10, // most requests go out in one write; a fleet of connections stays small
 		ReadBufferSize:      4096,
 	}}
 }
