Close a posting's connection before its end is told

Postings without an answer's head were checked too: there the library closes first. Test: TestClosedBeforeToldOf, seen to fail without the line. Heads of executors and discovery are bounded at 16 KiB (the library's 10 MB).

--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -28,7 +28,8 @@
 }
 
 func NewDiscovery(address string, names *protocol.Names) *Discovery {
-	return &Discovery{address, names, &http.Transport{DisableCompression: true, MaxConnsPerHost: 1}}
+	return &Discovery{address, names, &http.Transport{DisableCompression: true, MaxConnsPerHost: 1,
+		MaxResponseHeaderBytes: 16 << 10}}
 }
 
 // Ask gets the whole list, or waits for changes since a version.
--- a/internal/transport/executors.go
+++ b/internal/transport/executors.go
@@ -44,11 +44,12 @@
 			return fresh, nil
 		},
 		// Danger: a request written to a connection as the executor closes it may have run. Ours end first.
-		IdleConnTimeout:     max(idle-idle/5, time.Millisecond),
-		MaxIdleConnsPerHost: 1 << 20, // the descriptor budget is the limit
-		DisableCompression:  true,
-		WriteBufferSize:     8 << 10, // most requests go out in one write; a fleet of connections stays small
-		ReadBufferSize:      4096,
+		IdleConnTimeout:        max(idle-idle/5, time.Millisecond),
+		MaxIdleConnsPerHost:    1 << 20, // the descriptor budget is the limit
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: 16 << 10,
+		WriteBufferSize:        8 << 10, // most requests go out in one write; a fleet of connections stays small
+		ReadBufferSize:         4096,
 	}}
 }
 
@@ -98,6 +99,9 @@
 		line, err := lines.Next()
 		switch {
 		case err != nil:
+			// Danger: the module may send the txn again as soon as it knows; a connection that the library closes a
+			// little later would make that a second copy where none is allowed.
+			used.Close()
 			o := givenUp(ctx)
 			if o == dispatch.Settled {
 				o = dispatch.Broken
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -229,6 +229,27 @@
 	<-e.closed
 }
 
+// TestClosedBeforeToldOf: once a posting's end is known the txn may go again, and must not be out twice.
+func TestClosedBeforeToldOf(t *testing.T) {
+	for name, text := range map[string]string{"no head": "", "no last line": head + line("started"),
+		"foreign": head + chunk("odd")} {
+		e := play(t, says(text, true))
+		d, x := fresh()
+		before := d.free[executors]
+		for range 20 {
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
+			do(ctx, x, e.Addr().String(), func() {
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				if d.free[executors] != before {
+					t.Errorf("%s: the connection is open still", name)
+				}
+			})
+			cancel()
+		}
+	}
+}
+
 func TestTimeOut(t *testing.T) {
 	e := play(t, says(head+line("started"), true))
 	_, x := fresh()
