--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -36,7 +36,6 @@
 // Tenant is one customer with its share of the service.
 type Tenant struct {
 	Share float64
-	Quota float64 // txns a second over all nodes; 0: not told
 }
 
 // Terms are the settings handed over at start, decoded once.
@@ -81,7 +80,6 @@
 	Executor         *Executor
 	State            State
 	Zone, Kind, Cell int
-	Units            float64
 	Since            int64 // its latest start; 0: long ago
 }
 
@@ -159,7 +157,6 @@
 	hAt         int64
 	keptTill    int64 // until then a connection should be open and unused
 
-	open   []*Posting
 	busy   float64 // slots of open postings
 	atWork float64 // of these, slots of started ones
 	limit  float64
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -24,7 +24,6 @@
 	ID, Address      string
 	State            dispatch.State
 	Zone, Kind, Cell int
-	Units            float64
 	Started          int64 // Unix time, ns; 0: long ago
 }
 
@@ -39,14 +38,13 @@
 		Version *int64 `json:"version"`
 		Full    *bool  `json:"full"`
 		Servers []struct {
-			ID      string  `json:"id"`
-			Addr    string  `json:"addr"`
-			Zone    string  `json:"zone"`
-			Kind    string  `json:"kind"`
-			Cell    int     `json:"cell"`
-			State   string  `json:"state"`
-			Weight  float64 `json:"weight"`
-			Started int64   `json:"started_ms"`
+			ID      string `json:"id"`
+			Addr    string `json:"addr"`
+			Zone    string `json:"zone"`
+			Kind    string `json:"kind"`
+			Cell    int    `json:"cell"`
+			State   string `json:"state"`
+			Started int64  `json:"started_ms"`
 		} `json:"servers"`
 	}
 	if err := json.Unmarshal(text, &m); err != nil {
@@ -59,7 +57,7 @@
 	for i, s := range m.Servers {
 		state, known := listed[s.State]
 		e := Entry{ID: s.ID, Address: s.Addr, State: state, Zone: slices.Index(names.Zones, s.Zone),
-			Kind: slices.Index(names.Kinds, s.Kind), Cell: s.Cell, Units: s.Weight, Started: s.Started * 1e6}
+			Kind: slices.Index(names.Kinds, s.Kind), Cell: s.Cell, Started: s.Started * 1e6}
 		switch _, _, err := net.SplitHostPort(s.Addr); {
 		case s.ID == "":
 			return nil, fmt.Errorf("servers.%d: id is missing", i)
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -193,7 +193,7 @@
 	if err != nil || l.Version != 41 || !l.Full || len(l.Entries) != 3 {
 		t.Fatal(l, err)
 	}
-	first := Entry{ID: "s-1", Address: "10.0.0.1:7", Zone: 1, Cell: 3, Units: 1.5, Started: 17e17}
+	first := Entry{ID: "s-1", Address: "10.0.0.1:7", Zone: 1, Cell: 3, Started: 17e17}
 	if l.Entries[0] != first || l.Entries[1].State != dispatch.Draining || l.Entries[1].Zone != -1 ||
 		l.Entries[2].State != dispatch.Gone {
 		t.Errorf("%+v", l.Entries)
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -67,7 +67,7 @@
 			m.address = e.Address
 		}
 		members = append(members, dispatch.Member{Executor: m.executor, State: e.State, Zone: e.Zone, Kind: e.Kind,
-			Cell: e.Cell, Units: e.Units, Since: e.Started})
+			Cell: e.Cell, Since: e.Started})
 	}
 	n.module.List(l.Full, members)
 	for id, m := range n.members {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -92,7 +92,7 @@
 }
 
 func entry(id string, state dispatch.State) protocol.Entry {
-	return protocol.Entry{ID: id, Address: id + ":7", State: state, Units: 1}
+	return protocol.Entry{ID: id, Address: id + ":7", State: state}
 }
 
 func known(ids ...string) *protocol.List {
@@ -217,7 +217,7 @@
 func TestList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &carrier{script: serves(time.Millisecond)}
-		moved := protocol.Entry{ID: "b", Address: "elsewhere:7", Units: 1}
+		moved := protocol.Entry{ID: "b", Address: "elsewhere:7"}
 		l := &lister{answers: []any{
 			&protocol.List{Version: 5, Full: true, Entries: []protocol.Entry{entry("a", dispatch.Up), entry("b", dispatch.Up)}},
 			&protocol.List{Version: 6, Entries: []protocol.Entry{entry("a", dispatch.Draining), moved}},
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -233,7 +233,7 @@
 		n.executors[tag] = e
 	}
 	m := dispatch.Member{Executor: e, Zone: int(f.wholeOr("Zone", 0)), Kind: int(f.wholeOr("ClassOfHost", 0)),
-		Cell: int(f.wholeOr("UnitGroup", 0)), Units: f.realOr("Units", 1), Since: f.wholeOr("OnlineSince", 0)}
+		Cell: int(f.wholeOr("UnitGroup", 0)), Since: f.wholeOr("OnlineSince", 0)}
 	switch state {
 	case "up":
 	case "draining":
