Release the alarm of a txn's expiry with its final answer

Door.Alarm gives back what releases it; the module keeps that of the expiry (finish, Left). Before, a node held a timer and the txn for up to the longest expiry after every answer. Test: TestAnsweredTxnsKeepNoAlarm, seen to fail.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -46,10 +46,7 @@
 }
 
 func bin(v float64) int {
-	if v <= 1.0/256 {
-		return 0
-	}
-	return min(int(2*math.Log2(v*256)), len(spread{}.bin)-1)
+	return min(int(2*math.Log2(max(v*256, 1))), len(spread{}.bin)-1)
 }
 
 func (s *spread) add(v float64) {
@@ -182,7 +179,7 @@
 // Danger: a txn that is forgotten. This alarm answers it whatever else happens.
 func (d *Dispatcher) Expire(t *Txn, at int64) {
 	t.Expiry = min(t.Expiry, at)
-	d.door.Alarm(t.Expiry-d.now-2*d.terms.Tick, func() { d.finish(t) })
+	t.forget = d.door.Alarm(t.Expiry-d.now-2*d.terms.Tick, func() { d.finish(t) })
 }
 
 // overShare tells by chance whether a txn lies beyond its tenant's share, by the other tenants' arrivals.
@@ -575,7 +572,9 @@
 
 // Left ends a txn that is answered, or whose client has gone.
 func (d *Dispatcher) Left(t *Txn) {
-	t.Over = true
+	if t.Over = true; t.forget != nil {
+		t.forget()
+	}
 	for _, p := range t.Postings {
 		d.withdraw(p)
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -380,3 +380,16 @@
 	}
 	w.finish()
 }
+
+// Danger: alarms of txns long answered pile up with the rate and the longest expiry.
+func TestAnsweredTxnsKeepNoAlarm(t *testing.T) {
+	w := newWorld(t, 1, basicTerms())
+	w.join(2, false)
+	w.arrive(0, 1, 1e8, 3600e9)
+	w.settle()
+	for _, a := range w.alarms {
+		if a.at > w.now+60e9 {
+			t.Fatal("the alarm of its expiry is kept")
+		}
+	}
+}
--- a/dispatch/helpers_test.go
+++ b/dispatch/helpers_test.go
@@ -16,7 +16,7 @@
 	terms    *Terms
 	d        *Dispatcher
 	now      int64
-	alarms   []alarm
+	alarms   []*alarm
 	open     []*Posting
 	txns     []*Txn
 	ended    map[*Txn]int
@@ -159,8 +159,10 @@
 
 func (w *world) Reverse(t *Txn) { w.final(t) }
 func (w *world) Watch(bool)     {}
-func (w *world) Alarm(after int64, then func()) {
-	w.alarms = append(w.alarms, alarm{w.now + max(after, 1), then})
+func (w *world) Alarm(after int64, then func()) (forget func()) {
+	a := &alarm{w.now + max(after, 1), then}
+	w.alarms = append(w.alarms, a)
+	return func() { w.alarms = slices.DeleteFunc(w.alarms, func(b *alarm) bool { return a == b }) }
 }
 
 // pass lets time go by, alarm by alarm, in whole ticks.
@@ -169,7 +171,7 @@
 		w.now = min(w.now+w.terms.Tick, end)
 		w.d.At(w.now)
 		due := slices.Clone(w.alarms)
-		w.alarms = slices.DeleteFunc(w.alarms, func(a alarm) bool { return a.at <= w.now })
+		w.alarms = slices.DeleteFunc(w.alarms, func(a *alarm) bool { return a.at <= w.now })
 		for _, a := range due {
 			if a.at <= w.now {
 				a.then()
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -103,7 +103,7 @@
 	Withdraw(p *Posting)
 	Decline(t *Txn, returnIn int64)
 	Reverse(t *Txn)
-	Alarm(after int64, then func())
+	Alarm(after int64, then func()) (forget func())
 	Watch(on bool)
 }
 
@@ -124,6 +124,7 @@
 	earns        float64 // billing value for each unit of size that can be expected now
 	live         int     // postings out and not withdrawn
 	queued, over bool    // over: beyond its tenant's share
+	forget       func()  // releases the alarm of its expiry
 }
 
 // Posting is one sending of a txn to an executor.
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -103,8 +103,9 @@
 }
 
 // Alarm implements dispatch.Door, as do the methods after it. All are called under the lock and none blocks.
-func (n *Node) Alarm(after int64, then func()) {
-	time.AfterFunc(time.Duration(after), func() { n.event(then) })
+func (n *Node) Alarm(after int64, then func()) (forget func()) {
+	alarm := time.AfterFunc(time.Duration(after), func() { n.event(then) })
+	return func() { alarm.Stop() }
 }
 
 func (n *Node) Watch(on bool) {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -358,10 +358,12 @@
 	n.tidy(t)
 }
 
-func (n *node) Alarm(after int64, then func()) {
+func (n *node) Alarm(after int64, then func()) (forget func()) {
 	n.token++
-	n.alarms[n.token] = then
-	n.say("SET_ALARM", "Cookie", number(n.token), "After", number(max(after, 0)))
+	token := n.token
+	n.alarms[token] = then
+	n.say("SET_ALARM", "Cookie", number(token), "After", number(max(after, 0)))
+	return func() { delete(n.alarms, token) }
 }
 
 func (n *node) Watch(on bool) {
