--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -52,8 +52,7 @@
 	descriptors := transport.NewDescriptors(c.Sockets)
 	node := routing.New(c.Terms, c.Seed, c.Known, transport.NewExecutors(descriptors, c.Dial, c.Idle),
 		transport.NewDiscovery(c.Discovery, c.Names), log)
-	server := transport.NewServer(descriptors, c.Names, node.Serve, node.Ready,
-		time.Duration(c.Terms.MaxReturn), log)
+	server := transport.NewServer(descriptors, c.Names, node.Serve, node.Ready, log)
 
 	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -35,16 +35,14 @@
 	names       *protocol.Names
 	serve       Serve
 	ready       func() bool
-	returnIn    time.Duration // advice to clients that are declined at the door; 0: none
 	log         zerolog.Logger
 	http        *http.Server
 	listener    net.Listener
 	stopping    atomic.Bool
 }
 
-func NewServer(d *Descriptors, names *protocol.Names, serve Serve, ready func() bool, returnIn time.Duration,
-	l zerolog.Logger) *Server {
-	s := &Server{descriptors: d, names: names, serve: serve, ready: ready, returnIn: returnIn, log: l}
+func NewServer(d *Descriptors, names *protocol.Names, serve Serve, ready func() bool, l zerolog.Logger) *Server {
+	s := &Server{descriptors: d, names: names, serve: serve, ready: ready, log: l}
 	s.http = &http.Server{Handler: s, ReadTimeout: slowest, IdleTimeout: unused, MaxHeaderBytes: 16 << 10,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, spareKey{}, c.(*conn).spare)
@@ -124,8 +122,7 @@
 	if r.Context().Value(spareKey{}).(bool) {
 		s.log.Warn().Msg("descriptors are short: declined at the door")
 		w.Header().Set("Connection", "close")
-		// Danger: who is declined without advice is back at once, on a new connection, and takes the next place.
-		(&protocol.Answer{Status: http.StatusServiceUnavailable, ReturnIn: s.returnIn}).Write(w)
+		(&protocol.Answer{Status: http.StatusServiceUnavailable}).Write(w)
 		return
 	}
 	if answer := s.serve(r.Context(), q); answer != nil {
