--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -170,6 +171,34 @@
 	}
 }
 
+// TestConnectionNeverComesUp: a machine that has vanished answers no dial; the wait ends by the settings' limit.
+func TestConnectionNeverComesUp(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	syscall.Listen(fd, 0)
+	name, _ := syscall.Getsockname(fd)
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for range 10 { // until its queue is full and it says nothing any more
+		c, err := net.DialTimeout("tcp", address, 30*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer c.Close()
+	}
+	d := NewDescriptors(1024)
+	x, before, start := NewExecutors(d, 50*time.Millisecond, time.Minute), d.free, time.Now()
+	got := do(t.Context(), x, address)
+	if took := time.Since(start); got.outcome != dispatch.Undialed || took > time.Second || d.free != before {
+		t.Errorf("%+v after %s", got, took)
+	}
+}
+
 // TestUnsentProof: a write cut short, and a connection that nothing was written to, prove that a request never ran.
 func TestUnsentProof(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -390,6 +419,22 @@
 	}
 }
 
+// TestHalfARequest: one that is broken off is never served; one that never ends is ended, and others are served.
+func TestHalfARequest(t *testing.T) {
+	d := NewDescriptors(1024)
+	_, address := node(t, d, settled, func(h *http.Server) { h.ReadTimeout = 50 * time.Millisecond })
+	call(t, address, ask[:30]).Close()
+	for _, part := range []string{ask[:30], ask} {
+		c := call(t, address, part)
+		if text, err := io.ReadAll(c); err != nil || strings.Contains(string(text), "200 OK") {
+			t.Errorf("%q %v", text, err)
+		}
+	}
+	if got := answer(t, call(t, address, ask+"b")); got.StatusCode != 200 {
+		t.Error(got)
+	}
+}
+
 // TestIdleClientIsKept: the time to hand a request in does not run while a connection rests.
 func TestIdleClientIsKept(t *testing.T) {
 	_, address := node(t, NewDescriptors(1024), settled, func(h *http.Server) { h.ReadTimeout = 20 * time.Millisecond })
