SIGHUP brings a new configuration: discovery is turned to, all else waits for a restart

Nothing waited for the signal; the rest follows from that. The file is read by internal/config again, here before EDGE_DISCOVERY; the call that waits at the old place is dropped, the new place is asked for the whole list. A faulty file is one log line that names the key. Follow is now one select over orders, new places and answers, so that a call that waits cannot hold up either.

--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -39,6 +39,9 @@
 }
 
 func run(log zerolog.Logger) error {
+	// Danger: a SIGHUP that nobody waits for ends the program. Of several that come at once the last one counts.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	c, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -59,6 +62,11 @@
 	follow, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go node.Follow(follow)
+	go func() {
+		for range hangup {
+			reload(c, node, log)
+		}
+	}()
 
 	ended, err := server.Open(c.Listen)
 	if err != nil {
@@ -80,3 +88,20 @@
 	}
 	return nil
 }
+
+// reload reads the file again and turns to the discovery that it names. All else goes on as it is.
+func reload(c *config.Node, node *routing.Node, log zerolog.Logger) {
+	now, left, err := c.Reload(os.Getenv)
+	if err != nil {
+		log.Error().Err(err).Msg("new configuration not taken")
+		return
+	}
+	if len(left) > 0 {
+		log.Warn().Strs("keys", left).Msg("new configuration: these wait for a restart")
+	}
+	log.Info().Str("discovery", now.Discovery).Msg("new configuration")
+	if now.Discovery != c.Discovery {
+		c.Discovery = now.Discovery
+		node.Turn(transport.NewDiscovery(now.Discovery, c.Names))
+	}
+}
--- /dev/null
+++ b/cmd/fernrail/main_test.go
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/rs/zerolog"
+)
+
+const file = `{"name":"n1","listen":"127.0.0.1:0","discovery":"%s","seed":"1","limits":{"sockets":64},"settings":{"Tick":%d,
+"Rules":{"AskWithin":80000000},"Schemes":[{"Name":"pay","SlaTime":200000000,"Expiry":300000000,"Idempotency":"idempotent"}]}}`
+
+// agent stands in for discovery: it tells of each whole list that is asked for and answers watches at their end.
+func agent(t *testing.T) (address string, asked chan string) {
+	asked = make(chan string, 100)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if asked <- r.URL.RawQuery; r.URL.RawQuery != "" {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprint(w, `{"version":9,"full":true,"servers":[]}`)
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://"), asked
+}
+
+// logged passes lines of the log on.
+type logged chan string
+
+func (l logged) Write(b []byte) (int, error) { l <- string(b); return len(b), nil }
+
+func (l logged) until(text string) string {
+	for line := range l {
+		if strings.Contains(line, text) {
+			return line
+		}
+	}
+	return ""
+}
+
+// TestHangup: SIGHUP brings a new discovery, whole and at once; a faulty file changes nothing, and the next one is read
+// afresh. It never ends the program, which SIGTERM does.
+func TestHangup(t *testing.T) {
+	first, askedFirst := agent(t)
+	second, askedSecond := agent(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	t.Setenv("EDGE_CONFIG", path)
+	t.Setenv("EDGE_DISCOVERY", first)
+	replace := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	hang := func() { syscall.Kill(os.Getpid(), syscall.SIGHUP) }
+	replace(fmt.Sprintf(file, first, int(5e6)))
+	log, ended := make(logged, 1000), make(chan error, 1)
+	go func() { ended <- run(zerolog.New(log)) }()
+	log.until("node serves")
+	<-askedFirst
+	if watch := <-askedFirst; !strings.HasPrefix(watch, "since=9") {
+		t.Error(watch)
+	}
+	replace(fmt.Sprintf(file, first, int(5e6))[:80])
+	hang()
+	log.until("new configuration not taken")
+	replace(fmt.Sprintf(file, first, -1))
+	hang()
+	if line := log.until("new configuration not taken"); !strings.Contains(line, "Tick") {
+		t.Error(line)
+	}
+	replace(fmt.Sprintf(file, second, int(6e6)))
+	hang()
+	hang()
+	if line := log.until("wait for a restart"); !strings.Contains(line, `["settings.Tick"]`) {
+		t.Error(line)
+	}
+	if whole := <-askedSecond; whole != "" {
+		t.Error(whole)
+	}
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	log.until("node stops")
+	hang()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestFaultEndsTheStart: a node that cannot listen says so.
+func TestFaultEndsTheStart(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	path := filepath.Join(t.TempDir(), "config.json")
+	os.WriteFile(path, fmt.Appendf(nil, file, "127.0.0.1:1", int64(5e6)), 0o600)
+	t.Setenv("EDGE_CONFIG", path)
+	t.Setenv("EDGE_LISTEN", taken.Addr().String())
+	if err := run(zerolog.Nop()); err == nil {
+		t.Error("no fault")
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,8 +6,10 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -29,6 +31,8 @@
 	Dial                    time.Duration // for a connection to an executor to come up
 	Idle                    time.Duration // after which an executor closes an unused connection
 	Longest                 time.Duration // expiry of the scheme that has the longest
+
+	said map[string]string // the file's values by dotted name, but for those that concern a start alone
 }
 
 const (
@@ -52,6 +56,30 @@
 	return parse(text, env)
 }
 
+// Reload reads the file again while the node runs. Only discovery's address can change then; left names the keys of
+// what differs beside it, which waits for a restart.
+// Danger: EDGE_DISCOVERY tells the address of the start. Here the file goes before it, or the old one stays for good.
+func (n *Node) Reload(env func(string) string) (now *Node, left []string, err error) {
+	now, err = Load(func(variable string) string {
+		if variable == "EDGE_DISCOVERY" {
+			return ""
+		}
+		return env(variable)
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	keys := maps.Clone(n.said)
+	maps.Copy(keys, now.said)
+	for _, key := range slices.Sorted(maps.Keys(keys)) {
+		was, had := n.said[key]
+		if is, has := now.said[key]; was != is || had != has {
+			left = append(left, key)
+		}
+	}
+	return now, left, nil
+}
+
 func parse(text []byte, env func(string) string) (*Node, error) {
 	decoder := json.NewDecoder(bytes.NewReader(text))
 	decoder.UseNumber()
@@ -74,7 +102,15 @@
 		flatten(under, key, value)
 	}
 	find := func(key string) (string, bool) { v, found := under[key]; return v, found }
-	n := &Node{}
+	n := &Node{said: map[string]string{}}
+	for key, value := range flat {
+		if key != "discovery" && key != "seed" {
+			n.said[key] = value
+		}
+	}
+	for key, value := range under {
+		n.said["settings."+key] = value
+	}
 	var err error
 	if n.Terms, err = Decode(find); err != nil {
 		return nil, err
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -4,56 +4,89 @@
 
 import (
 	"context"
+	"errors"
 
 	"fernrail/dispatch"
 	"fernrail/internal/protocol"
 )
 
+// Turn has the list asked for elsewhere from now on. Of several new places the last one counts.
+func (n *Node) Turn(to Lister) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	select {
+	case <-n.turn:
+	default:
+	}
+	n.turn <- to
+}
+
+// told is what a call for the list brought.
+type told struct {
+	list *protocol.List
+	err  error
+}
+
 // Follow keeps the list up to date while the module wants that. A call that fails ends the watch; the module says
 // when to ask again.
 func (n *Node) Follow(ctx context.Context) {
-	on, whole := false, true
+	on, whole, version := false, true, int64(0)
+	var answer chan told // of the call that is out
+	leave := func() {}
 	for {
-		if !on {
-			select {
-			case on = <-n.watch:
-			case <-ctx.Done():
-				return
-			}
-			continue
+		if on && answer == nil {
+			answer = make(chan told, 1)
+			var call context.Context
+			call, leave = context.WithCancel(ctx)
+			go n.ask(call, n.lister, version, whole, answer)
 		}
 		select {
-		case on = <-n.watch:
-			continue
-		default:
-		}
-		var list *protocol.List
-		var err error
-		if fault := n.guard(func() { list, err = n.lister.Ask(ctx, n.version, whole) }); fault != nil {
-			err = fault
-		}
-		switch {
-		case ctx.Err() != nil:
+		case <-ctx.Done():
+			leave()
 			return
-		case err != nil:
-			n.log.Warn().Err(err).Msg("discovery: list kept as it is")
-			on = false
-			n.event(n.module.ListFailed)
-		// Danger: changes to a list that this node does not have. It asks for the whole.
-		case !list.Full && list.Version < n.version:
-			n.log.Warn().Int64("version", list.Version).Int64("had", n.version).Msg("discovery: went back")
-			whole = true
-		default:
-			whole = false
-			n.version = list.Version
-			if list.Full || len(list.Entries) > 0 {
-				n.log.Info().Int64("version", list.Version).Bool("whole", list.Full).Int("entries", len(list.Entries)).Msg("list")
-				n.event(func() { n.listed(list) })
-			}
+		case on = <-n.watch:
+		// Danger: the call that waits at the old place hears nothing more, and versions of one place say nothing
+		// about the other's list, which is asked for whole.
+		case n.lister = <-n.turn:
+			leave()
+			answer, on, whole, version = nil, true, true, 0
+		case a := <-answer:
+			leave()
+			answer = nil
+			on, whole, version = n.hear(a, version, whole)
 		}
 	}
 }
 
+func (n *Node) ask(ctx context.Context, l Lister, since int64, whole bool, answer chan<- told) {
+	var a told
+	if fault := n.guard(func() { a.list, a.err = l.Ask(ctx, since, whole) }); fault != nil {
+		a.err = fault
+	}
+	answer <- a
+}
+
+// hear takes what a call brought, and says whether to ask on, and for what.
+func (n *Node) hear(a told, had int64, wanted bool) (on, whole bool, version int64) {
+	if a.err == nil && wanted && !a.list.Full {
+		a.err = errors.New("asked for the whole list, got changes")
+	}
+	switch {
+	case a.err != nil:
+		n.log.Warn().Err(a.err).Msg("discovery: list kept as it is")
+		n.event(n.module.ListFailed)
+		return false, wanted, had
+	// Danger: changes to a list that this node does not have. It asks for the whole.
+	case !a.list.Full && a.list.Version < had:
+		n.log.Warn().Int64("version", a.list.Version).Int64("had", had).Msg("discovery: went back")
+		return true, true, had
+	case a.list.Full || len(a.list.Entries) > 0:
+		n.log.Info().Int64("version", a.list.Version).Bool("whole", a.list.Full).Int("entries", len(a.list.Entries)).Msg("list")
+		n.event(func() { n.listed(a.list) })
+	}
+	return true, false, a.list.Version
+}
+
 // listed hands the list to the module and keeps the addresses.
 func (n *Node) listed(l *protocol.List) {
 	var members []dispatch.Member
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -34,10 +34,10 @@
 type Node struct {
 	terms   *dispatch.Terms
 	carrier Carrier
-	lister  Lister
+	lister  Lister      // Follow alone uses it
+	turn    chan Lister // the latest new place to ask, at most one
 	log     zerolog.Logger
 	start   time.Time
-	version int64 // of the list; Follow alone uses it
 
 	mu      sync.Mutex // round the module and all below; never held over a write, a dial or a log line
 	module  *dispatch.Dispatcher
@@ -58,7 +58,7 @@
 // New starts the module on the list as it was last known.
 func New(terms *dispatch.Terms, seed uint64, known *protocol.List, c Carrier, l Lister, log zerolog.Logger) *Node {
 	n := &Node{terms: terms, carrier: c, lister: l, log: log, start: time.Now(), till: math.MaxInt64, members: map[string]*member{},
-		lives: map[*dispatch.Txn]*life{}, out: map[*dispatch.Posting]context.CancelFunc{}, watch: make(chan bool, 1)}
+		lives: map[*dispatch.Txn]*life{}, out: map[*dispatch.Posting]context.CancelFunc{}, watch: make(chan bool, 1), turn: make(chan Lister, 1)}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.module = dispatch.New(terms, seed, n, n.clock())
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -254,6 +254,31 @@
 	})
 }
 
+// TestTurn: a new place is asked at once, also while the old one waits or the next call there, and for the whole list,
+// however low its version. Executors that both name are the same.
+func TestTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		old := &lister{answers: []any{&protocol.List{Version: 50, Full: true, Entries: known("a", "b").Entries}}}
+		down := &lister{answers: []any{errors.New("refused")}}
+		fresh := &lister{answers: []any{&protocol.List{Version: 3, Full: true, Entries: known("b", "c").Entries}}}
+		n := New(terms(), 1, known("a"), &carrier{script: serves(time.Millisecond)}, old, zerolog.Nop())
+		ctx, stop := context.WithCancel(t.Context())
+		go n.Follow(ctx)
+		synctest.Wait()
+		kept := n.members["b"].executor
+		for _, l := range []*lister{down, fresh} {
+			n.Turn(&lister{}) // the last one counts
+			n.Turn(l)
+			synctest.Wait()
+		}
+		got := fmt.Sprint(old.asked, down.asked, fresh.asked)
+		if got != "[0 true 50 false] [0 true] [0 true 3 false]" || len(n.members) != 2 || n.members["b"].executor != kept {
+			t.Error(got, n.members)
+		}
+		stop()
+	})
+}
+
 // FuzzRules holds the node to the rules through random lives, answers, departures and changes of the list.
 func FuzzRules(f *testing.F) {
 	for seed := range uint64(12) {
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -29,6 +29,7 @@
 
 func NewDiscovery(address string, names *protocol.Names) *Discovery {
 	return &Discovery{address, names, &http.Transport{DisableCompression: true, MaxConnsPerHost: 1,
+		IdleConnTimeout:        waits, // calls follow at once; an agent that was left keeps no descriptor
 		MaxResponseHeaderBytes: 16 << 10}}
 }
 
