A node told to end takes requests for eight tenths of its time to stop, not 0.5 s

Checked in the logs: n1 got SIGTERM at 15.99 s while n0, told at 12.99 s, came back at 17.43 s only; Stop closed the listener and all kept connections after 0.5 s (quiet), so nobody was there. Ruled out: SIGHUP, the list, blame (no errors in that span). Now kept connections and the door stay open for 0.8 of the time to stop; End's earlier expiry still bounds each answer.

--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -81,9 +81,7 @@
 	log.Info().Msg("node stops")
 	within := min(c.Longest, longestStop) + stopMargin
 	node.End(within)
-	limit, cancelLimit := context.WithTimeout(context.Background(), within+stopMargin)
-	defer cancelLimit()
-	if err := server.Stop(limit); err != nil {
+	if err := server.Stop(within + stopMargin); err != nil {
 		log.Warn().Err(err).Msg("ends with clients connected")
 	}
 	return nil
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -24,6 +24,8 @@
 	reading = 5 * time.Second
 	// quiet is how long new connections may go on coming after the order to stop, and some more.
 	quiet = 500 * time.Millisecond
+	// open is the part of the time to stop in which requests are still taken; the rest is for their answers.
+	open = 0.8
 )
 
 // Serve is the life of one request: it gives the one final answer, or nil if the client has left.
@@ -91,14 +93,17 @@
 	return ended, nil
 }
 
-// Stop takes what still comes for a while, answers all that was taken and ends. Connections close between requests.
-// Danger: http.Server's own Shutdown closes connections whose next request is just being read.
-func (s *Server) Stop(ctx context.Context) error {
+// Stop takes what still comes for part of the time, answers all that was taken and ends. Connections close between
+// requests.
+// Danger: http.Server's own Shutdown closes connections whose next request is just being read. A door that is shut at
+// once leaves clients with nowhere to go while other nodes are down or restart as well.
+func (s *Server) Stop(within time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	time.Sleep(max(time.Duration(open*float64(within)), min(quiet, within)))
 	s.stopping.Store(true)
 	s.descriptors.retire()
-	time.Sleep(quiet)
 	s.listener.Close()
-	s.descriptors.retire()
 	return s.descriptors.empty(ctx)
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -556,7 +556,8 @@
 	}
 }
 
-// TestStop: what was taken is answered, what still comes is taken, kept connections close between requests.
+// TestStop: what was taken is answered, what still comes is taken for half of the time, and kept connections then close
+// between requests.
 func TestStop(t *testing.T) {
 	taken, hold := make(chan struct{}), make(chan struct{})
 	s, address := node(t, NewDescriptors(1024), func(context.Context, *protocol.Request) *protocol.Answer {
@@ -566,8 +567,8 @@
 	})
 	first := call(t, address, ask+"b")
 	<-taken
-	stopped := make(chan error, 1)
-	go func() { stopped <- s.Stop(context.Background()) }()
+	stopped, start := make(chan error, 1), time.Now()
+	go func() { stopped <- s.Stop(2 * time.Second) }()
 	second := call(t, address, ask+"b")
 	<-taken
 	for { // until nothing new is taken
@@ -578,6 +579,9 @@
 		c.Close()
 		time.Sleep(10 * time.Millisecond)
 	}
+	if took := time.Since(start); took < time.Second {
+		t.Errorf("shut after %s", took)
+	}
 	select {
 	case <-stopped:
 		t.Fatal("ended with requests unanswered")
