Strangers at the door give way to each other and have 2 s; one shared budget of descriptors

A probe that logged each read showed who holds the places: 574 of 2,803 connections of one node asked GET /-/ready and stayed, 125 said nothing until the 10 s were over, and clients' half (184) was full. At fault: ReadTimeout of 10 s, idle of 2 minutes for whoever asked /-/ready, connections without a byte that never gave way, fixed halves. Ruled out: CPU (0.06 s a second), memory (10 of 64 MB). Now a connection is a stranger until it has handed in a request; strangers hold a quarter of the budget at most and the longest waiting one gives way, also while it lingers after an error; a side may hold six tenths; /-/ready closes. A place is looked for once a newcomer is there, so nobody gives way without need.

--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -12,11 +12,11 @@
 	"time"
 )
 
-// reserve is kept for what is not a connection of a client or an executor: standard files, the poller, the
-// listener, discovery, files of the runtime. A node at rest was seen to hold ten; the rest is room for libraries.
+// reserve is kept for what has no place in the budget: standard files, the poller, the listener, discovery, files of the
+// runtime, a client's new connection that waits for its place. A node at rest was seen to hold ten.
 const reserve = 16
 
-// side is who a connection leads to. Each has half of the budget, so that neither can starve the other.
+// side is who a connection leads to.
 type side int
 
 const (
@@ -24,81 +24,134 @@
 	executors
 )
 
+const (
+	// most is the part of the budget that one side may hold. What is left to the other carries a request for each place
+	// of a third, which is what clients use, and its second copies.
+	most = 0.6
+	// unknown is the part of the budget that clients' connections may hold before they have handed a request in.
+	// Beside a third for requests it leaves executors their part.
+	unknown = 0.25
+)
+
 // Descriptors is the one owner of the descriptor budget. Each connection takes one place when it comes up and gives
 // it back when it is closed, there alone. Idle connections give way first, the longest idle one before the others.
+// Danger: connections that are opened by the hundred and say nothing, or half of something, crowd out clients that work.
+// So a stranger, one that has not handed a request in yet, takes the place of the longest waiting stranger.
 type Descriptors struct {
-	mu       sync.Mutex
-	free     [2]int
-	spare    int          // of the clients' free places, kept for those that can only be turned away
-	idle     [2]list.List // of *conn
-	yielding int          // clients' connections told to give way and not closed yet
-	working  int          // clients' connections with a request on them
-	stopping bool
-	wake     chan struct{}
+	mu        sync.Mutex
+	changed   sync.Cond // a place or the last request may be free
+	total     int
+	most      [2]int
+	held      [2]int
+	strange   int          // strangers at most
+	spare     int          // of the clients' places, kept for those that can only be turned away
+	idle      [2]list.List // of *conn
+	strangers list.List    // of *conn, with those whose last answer is given
+	yielding  int          // clients' connections told to give way and not closed yet
+	working   int          // clients' connections with a request on them
+	stopping  bool
 }
 
 func NewDescriptors(sockets int) *Descriptors {
-	half := max(sockets-reserve, 4) / 2
-	return &Descriptors{free: [2]int{half, half}, spare: max(half/8, 1), wake: make(chan struct{}, 1)}
+	total := max(sockets-reserve, 4)
+	part := func(of float64) int { return max(int(of*float64(total)), 1) }
+	d := &Descriptors{total: total, most: [2]int{part(most), part(most)}, strange: part(unknown), spare: part(most / 8)}
+	d.changed.L = &d.mu
+	return d
 }
 
-// take asks for a place; where none is left an idle connection has to give way.
+// left is how many more places a side may take. Under mu.
+func (d *Descriptors) left(of side) int {
+	return min(d.most[of]-d.held[of], d.total-d.held[clients]-d.held[executors])
+}
+
+// take asks for a place; where none is left an idle connection or a stranger has to give way.
 func (d *Descriptors) take(of side) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.free[of] == 0 {
-		d.yield(of)
+	if of == clients && d.strangers.Len() >= d.strange {
+		d.end(&d.strangers)
 	}
-	if d.free[of] == 0 {
+	if d.left(of) <= 0 {
+		switch {
+		case d.idle[executors].Len() > 0 && (of == executors || d.held[of] < d.most[of]):
+			d.end(&d.idle[executors])
+		case of == clients && d.yielding+d.idle[clients].Len() > 0:
+			if d.yielding == 0 {
+				d.yield()
+			}
+		case of == clients || d.held[of] < d.most[of]:
+			d.end(&d.strangers)
+		}
+	}
+	if d.left(of) <= 0 {
 		return false
 	}
-	d.free[of]--
+	d.held[of]++
 	return true
 }
 
-// short says whether clients have come to the spare places, though an idle connection gives way.
-func (d *Descriptors) short() bool {
+// greet finds a place for a client's new connection, a stranger. It is a spare one if clients have come to the spare
+// places, though an idle connection gives way.
+func (d *Descriptors) greet(fresh net.Conn) *conn {
+	for !d.take(clients) {
+		d.mu.Lock()
+		if d.left(clients) <= 0 {
+			d.changed.Wait()
+		}
+		d.mu.Unlock()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.free[clients]+d.yielding < d.spare {
-		d.yield(clients)
+	short := func() bool { return d.left(clients)+d.yielding+d.strangers.Len() < d.spare }
+	if short() {
+		d.yield()
+	}
+	c := &conn{Conn: fresh, owner: d, of: clients, spare: short()}
+	c.put(&d.strangers)
+	return c
+}
+
+// admit takes a client's connection for a known one, with its first whole request; false: it had to go.
+func (d *Descriptors) admit(c *conn) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !c.closed && c.in == &d.strangers {
+		c.put(nil)
+	}
+	return !c.closed
+}
+
+// end closes the first connection of a list, if there is one, to make room. Under mu.
+func (d *Descriptors) end(of *list.List) {
+	if first := of.Front(); first != nil {
+		c := first.Value.(*conn)
+		c.put(nil)
+		c.yielded = c.of == executors
+		d.mu.Unlock()
+		c.Close()
+		d.mu.Lock()
 	}
-	return d.free[clients]+d.yielding < d.spare
 }
 
-// yield closes the longest idle connection of a side, if there is one, to make room. Under mu.
+// yield has the longest idle of the clients' connections closed, if there is one. Under mu.
 // Danger: a request that is being read while its connection is closed is lost. A client's connection is therefore
 // only waked, and the server closes it; if a request's first bytes were read before, it is served instead.
-func (d *Descriptors) yield(of side) {
-	first := d.idle[of].Front()
-	if first == nil {
-		return
-	}
-	c := d.idle[of].Remove(first).(*conn)
-	c.at, c.yielded = nil, true
-	if of == clients {
+func (d *Descriptors) yield() {
+	if first := d.idle[clients].Front(); first != nil {
+		c := first.Value.(*conn)
+		c.put(nil)
+		c.yielded = true
 		d.yielding++
 		c.Conn.SetReadDeadline(time.Unix(1, 0))
-		return
 	}
-	d.mu.Unlock()
-	c.Close()
-	d.mu.Lock()
 }
 
 func (d *Descriptors) give(of side) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.free[of]++
-	d.tell()
-}
-
-// tell wakes who waits for a place or for the last request.
-func (d *Descriptors) tell() {
-	select {
-	case d.wake <- struct{}{}:
-	default:
-	}
+	d.held[of]--
+	d.changed.Broadcast()
 }
 
 // busy marks a connection as in use and numbers the use.
@@ -114,21 +167,23 @@
 	return c.uses
 }
 
-// leave takes a connection out of all that is counted. Under mu.
+// leave takes a connection out of all that is counted, but for the strangers. Under mu.
 func (d *Descriptors) leave(c *conn) {
 	if c.working {
 		c.working = false
 		d.working--
-		d.tell()
+		d.changed.Broadcast()
 	}
-	if c.at != nil {
-		d.idle[c.of].Remove(c.at)
-		c.at = nil
+	if c.in == &d.idle[c.of] {
+		c.put(nil)
+		if c.of == clients {
+			c.Conn.SetReadDeadline(time.Now().Add(slowest)) // the server's own limit waits for some bytes more
+		}
 	}
 	if c.yielded && c.of == clients {
 		c.yielded = false
 		d.yielding--
-		c.Conn.SetReadDeadline(time.Time{})
+		c.Conn.SetReadDeadline(time.Now().Add(slowest))
 	}
 }
 
@@ -137,12 +192,12 @@
 func (d *Descriptors) rest(c *conn, use int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if use != c.uses || c.at != nil || c.closed {
+	if use != c.uses || c.in != nil || c.closed {
 		return
 	}
 	d.leave(c)
-	if c.at = d.idle[c.of].PushBack(c); d.stopping && c.of == clients {
-		d.yield(clients)
+	if c.put(&d.idle[c.of]); d.stopping && c.of == clients {
+		d.yield()
 	}
 }
 
@@ -152,25 +207,26 @@
 	defer d.mu.Unlock()
 	d.stopping = true
 	for d.idle[clients].Len() > 0 {
-		d.yield(clients)
+		d.yield()
 	}
 }
 
 // empty waits until no client's request is left.
 func (d *Descriptors) empty(ctx context.Context) error {
-	for {
+	defer context.AfterFunc(ctx, func() {
 		d.mu.Lock()
-		left := d.working
-		d.mu.Unlock()
-		if left == 0 {
-			return nil
-		}
-		select {
-		case <-d.wake:
-		case <-ctx.Done():
+		defer d.mu.Unlock()
+		d.changed.Broadcast()
+	})()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for d.working > 0 {
+		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		d.changed.Wait()
 	}
+	return nil
 }
 
 // conn is a connection with its place in the budget. For those to executors it also keeps what proves that a
@@ -179,10 +235,11 @@
 	net.Conn
 	owner   *Descriptors
 	of      side
-	working bool          // under owner.mu
-	spare   bool          // a client's that can only be turned away
-	at      *list.Element // in idle; under owner.mu
-	uses    int           // under owner.mu, as are the next two
+	spare   bool // a client's that can only be turned away
+	working bool // under owner.mu, as are those up to yielded
+	in      *list.List
+	at      *list.Element // of in
+	uses    int
 	closed  bool
 	// yielded: told to make room, when it may just have been taken for a request
 	yielded bool
@@ -192,11 +249,22 @@
 	cut     bool // a write did not take all its bytes
 }
 
+// put moves the connection to the end of a list, or out of all. Under owner.mu.
+func (c *conn) put(to *list.List) {
+	if c.in != nil {
+		c.in.Remove(c.at)
+	}
+	if c.in, c.at = to, nil; to != nil {
+		c.at = to.PushBack(c)
+	}
+}
+
 func (c *conn) Close() error {
 	c.owner.mu.Lock()
 	first := !c.closed
 	c.closed = true
 	c.owner.leave(c)
+	c.put(nil)
 	c.owner.mu.Unlock()
 	err := c.Conn.Close()
 	if first {
@@ -226,8 +294,14 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// CloseWrite lets the server send an answer to a request that it did not read to its end.
+// CloseWrite lets the server send an answer to a request that it did not read to its end. What follows is only to keep
+// a reset from wiping that out; the connection gives way as strangers do.
 func (c *conn) CloseWrite() error {
+	c.owner.mu.Lock()
+	if !c.closed {
+		c.put(&c.owner.strangers)
+	}
+	c.owner.mu.Unlock()
 	if half, can := c.Conn.(interface{ CloseWrite() error }); can {
 		return half.CloseWrite()
 	}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// slowest is how long a client may take to hand a request in, from its first byte on.
-	slowest = 10 * time.Second
+	// slowest is how long a client may take to hand a request in: its first from when it connects, later ones from
+	// their first byte on. Bad clients are owed an end within 3 s, which has to hold for a node short of its core, too.
+	slowest = 2 * time.Second
 	// unused is how long a client may keep a connection without a request on it.
 	unused = 2 * time.Minute
 	// reading is how long a client may take to read its answer.
@@ -47,7 +48,7 @@
 	s := &Server{descriptors: d, names: names, serve: serve, ready: ready, log: l}
 	s.http = &http.Server{Handler: s, ReadTimeout: slowest, IdleTimeout: unused, MaxHeaderBytes: 16 << 10,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, spareKey{}, c.(*conn).spare)
+			return context.WithValue(ctx, connKey{}, c)
 		},
 		ErrorLog: log.New(l.With().Str("part", "net/http").Logger(), "", 0),
 		ConnState: func(c net.Conn, state http.ConnState) {
@@ -58,27 +59,23 @@
 	return s
 }
 
-// spareKey finds in a request's context whether its connection is a spare one.
-type spareKey struct{}
+// connKey finds its connection in a request's context.
+type connKey struct{}
 
-// listener gives each connection its place in the budget before it is accepted.
+// listener gives each connection its place in the budget.
 type listener struct {
 	net.Listener
 	descriptors *Descriptors
 }
 
 func (l *listener) Accept() (net.Conn, error) {
-	// Danger: a connection left in the kernel's queue may hold a txn. Where all places are taken it waits for the
-	// first one that is given back; those in spare places are answered and closed at once.
-	for !l.descriptors.take(clients) {
-		<-l.descriptors.wake
-	}
 	c, err := l.Listener.Accept()
 	if err != nil {
-		l.descriptors.give(clients)
 		return nil, err
 	}
-	return &conn{Conn: c, owner: l.descriptors, of: clients, spare: l.descriptors.short()}, nil
+	// Danger: a connection that is left waiting may hold a txn. Only a newcomer makes others give way, so none does
+	// without need; those in spare places are answered and closed at once.
+	return l.descriptors.greet(c), nil
 }
 
 // Open starts to listen and to serve; what ends that before Stop comes out of the channel.
@@ -109,6 +106,7 @@
 
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/-/ready" {
+		w.Header().Set("Connection", "close") // Danger: who asks this and stays takes a client's place
 		answer := &protocol.Answer{Status: http.StatusOK, Body: "ready\n"}
 		if !s.ready() {
 			answer = &protocol.Answer{Status: http.StatusServiceUnavailable, Body: "not ready\n"}
@@ -124,7 +122,11 @@
 		(&protocol.Answer{Status: fault.Status, Body: fault.Text + "\n"}).Write(w)
 		return
 	}
-	if r.Context().Value(spareKey{}).(bool) {
+	c := r.Context().Value(connKey{}).(*conn)
+	if !s.descriptors.admit(c) {
+		return
+	}
+	if c.spare {
 		s.log.Warn().Msg("descriptors are short: declined at the door")
 		w.Header().Set("Connection", "close")
 		(&protocol.Answer{Status: http.StatusServiceUnavailable}).Write(w)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -162,11 +162,11 @@
 	address := l.Addr().String()
 	l.Close()
 	d, x := fresh()
-	before := d.free
+	before := d.held
 	if got := do(t.Context(), x, address); got.outcome != dispatch.Undialed {
 		t.Errorf("%+v", got)
 	}
-	if d.free != before {
+	if d.held != before {
 		t.Error("a place in the budget is gone")
 	}
 }
@@ -192,9 +192,9 @@
 		defer c.Close()
 	}
 	d := NewDescriptors(1024)
-	x, before, start := NewExecutors(d, 50*time.Millisecond, time.Minute), d.free, time.Now()
+	x, before, start := NewExecutors(d, 50*time.Millisecond, time.Minute), d.held, time.Now()
 	got := do(t.Context(), x, address)
-	if took := time.Since(start); got.outcome != dispatch.Undialed || took > time.Second || d.free != before {
+	if took := time.Since(start); got.outcome != dispatch.Undialed || took > time.Second || d.held != before {
 		t.Errorf("%+v after %s", got, took)
 	}
 }
@@ -264,13 +264,13 @@
 		"foreign": head + chunk("odd")} {
 		e := play(t, says(text, true))
 		d, x := fresh()
-		before := d.free[executors]
+		before := d.held[executors]
 		for range 20 {
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
 			do(ctx, x, e.Addr().String(), func() {
 				d.mu.Lock()
 				defer d.mu.Unlock()
-				if d.free[executors] != before {
+				if d.held[executors] != before {
 					t.Errorf("%s: the connection is open still", name)
 				}
 			})
@@ -314,7 +314,7 @@
 	slow := play(t, func(c net.Conn, _ int) bool { io.WriteString(c, head+line("started")); <-hold; return false })
 	quick := play(t, says(head+line("done")+end, true))
 	d, x := fresh()
-	d.free[executors] = 1
+	d.most[executors] = 1
 	if got := do(t.Context(), x, quick.Addr().String()); got.outcome != dispatch.Settled {
 		t.Fatalf("%+v", got)
 	}
@@ -339,7 +339,7 @@
 func TestUnusedConnectionGivesWay(t *testing.T) {
 	e := play(t, says(head+line("done")+end, true))
 	d, x := fresh()
-	d.free[executors] = 1
+	d.most[executors] = 1
 	if _, err := x.transport.DialContext(t.Context(), "tcp", e.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
@@ -413,26 +413,64 @@
 		strings.Replace(ask, "Host: h", "Host h", 1) + "b":    400,
 		strings.Replace(ask, "Length: 1", "Length: 70000", 1): 413,
 	} {
-		if got := answer(t, call(t, address, text)); got.StatusCode != want {
-			t.Errorf("%.40q: %d, want %d", text, got.StatusCode, want)
+		got := answer(t, call(t, address, text))
+		if got.StatusCode != want || got.Close != (text != ask+"b") {
+			t.Errorf("%.40q: %d, want %d, close %t", text, got.StatusCode, want, got.Close)
 		}
 	}
 }
 
-// TestHalfARequest: one that is broken off is never served; one that never ends is ended, and others are served.
+// TestHalfARequest: one that is broken off is never served; one that never ends or begins is ended within 3 s.
 func TestHalfARequest(t *testing.T) {
-	d := NewDescriptors(1024)
-	_, address := node(t, d, settled, func(h *http.Server) { h.ReadTimeout = 50 * time.Millisecond })
+	_, address := node(t, NewDescriptors(1024), func(context.Context, *protocol.Request) *protocol.Answer {
+		t.Error("served")
+		return nil
+	})
 	call(t, address, ask[:30]).Close()
-	for _, part := range []string{ask[:30], ask} {
-		c := call(t, address, part)
-		if text, err := io.ReadAll(c); err != nil || strings.Contains(string(text), "200 OK") {
-			t.Errorf("%q %v", text, err)
-		}
+	var parts sync.WaitGroup
+	for _, part := range []string{"", ask[:3], ask[:30], ask, strings.Replace(ask, "Content-Length: 1", "Transfer-Encoding: chunked", 1)} {
+		c, start := call(t, address, part), time.Now()
+		parts.Go(func() {
+			if text, err := io.ReadAll(c); err != nil || time.Since(start) > 3*time.Second {
+				t.Errorf("%q: %q %v after %s", part, text, err, time.Since(start))
+			}
+		})
+	}
+	parts.Wait()
+}
+
+// TestStrangersGiveWay: connections that say nothing, or never stop, take each other's places and not those of clients
+// that work; what a connection got an error for is one of them while it lingers.
+func TestStrangersGiveWay(t *testing.T) {
+	d := NewDescriptors(64)
+	_, address := node(t, d, settled)
+	kept := call(t, address, ask+"b")
+	if got := answer(t, kept); got.StatusCode != 200 {
+		t.Fatal(got)
+	}
+	var silent []net.Conn
+	for i := range 100 {
+		silent = append(silent, call(t, address, []string{"", ask[:40], strings.Replace(ask, ": 1", ": 90000000", 1)}[i%3]))
 	}
 	if got := answer(t, call(t, address, ask+"b")); got.StatusCode != 200 {
 		t.Error(got)
 	}
+	io.WriteString(kept, ask+"b")
+	if got := answer(t, kept); got.StatusCode != 200 {
+		t.Error(got)
+	}
+	start := time.Now()
+	for _, c := range silent[:100-2*d.strange] {
+		io.Copy(io.Discard, c) // until it is closed
+	}
+	if took := time.Since(start); took > time.Second {
+		t.Errorf("the last was kept for %s", took)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.held[clients] > d.strange+3 {
+		t.Errorf("%d places are held", d.held[clients])
+	}
 }
 
 // TestIdleClientIsKept: the time to hand a request in does not run while a connection rests.
@@ -479,7 +517,7 @@
 func TestShortOfDescriptors(t *testing.T) {
 	taken, hold := make(chan struct{}), make(chan struct{})
 	d := NewDescriptors(1024)
-	d.free[clients], d.spare = 2, 1
+	d.most[clients], d.spare = 2, 1
 	_, address := node(t, d, func(context.Context, *protocol.Request) *protocol.Answer {
 		taken <- struct{}{}
 		<-hold
@@ -541,7 +579,7 @@
 // TestIdleClientsGiveWay: a connection that rests is closed for a new one, which is served.
 func TestIdleClientsGiveWay(t *testing.T) {
 	d := NewDescriptors(1024)
-	d.free[clients], d.spare = 3, 2
+	d.most[clients], d.spare = 3, 2
 	_, address := node(t, d, settled)
 	for range 20 {
 		c := call(t, address, ask+"b")
