An id is taken once; targets and headers are plain text and go on byte for byte

Serve took any id. Now an id is kept for 10 to 20 s, and as long as it is open; the second gets 409 and a close, the first is left alone. An id, target or header that is no plain text, or is told twice, gets 400, since an executor that can't read it closes on whatever else waits there; a target goes on as it came, where url.URL would have escaped parts of it anew.

--- a/internal/protocol/executor.go
+++ b/internal/protocol/executor.go
@@ -120,17 +120,13 @@
 func (once) Close() error { return nil }
 
 // Encode makes the request to the executor.
-func (j *Job) Encode() (*http.Request, error) {
-	target, err := url.ParseRequestURI(j.Request.Target)
-	if err != nil {
-		return nil, err
-	}
-	target.Scheme, target.Host = "http", j.Address
+func (j *Job) Encode() *http.Request {
+	target := &url.URL{Scheme: "http", Host: j.Address, Opaque: j.Request.Target} // goes on byte for byte
 	header := j.Request.Header.Clone()
 	header.Set("X-Budget-Ms", strconv.FormatInt(j.Budget.Milliseconds(), 10))
 	if header["User-Agent"] == nil {
 		header["User-Agent"] = nil // or the library would put its own
 	}
 	return &http.Request{Method: http.MethodPost, URL: target, Host: j.Address, ProtoMajor: 1, ProtoMinor: 1,
-		ContentLength: int64(len(j.Request.Body)), Body: once{bytes.NewReader(j.Request.Body)}, Header: header}, nil
+		ContentLength: int64(len(j.Request.Body)), Body: once{bytes.NewReader(j.Request.Body)}, Header: header}
 }
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -18,7 +18,7 @@
 var names = &Names{Zones: []string{"a", "b"}, Kinds: []string{"m1"}, Schemes: []string{"render", "pay"},
 	Tenants: []string{"acme", "globex"}}
 
-const request = "POST /pay/x?obj=7f HTTP/1.1\r\nHost: h\r\nX-Call-Id: 9b1f\r\nX-Call-Class: pay\r\nX-Caller: globex\r\n" +
+const request = "POST /pay/x%2f<?obj=7f HTTP/1.1\r\nHost: h\r\nX-Call-Id: 9b1f\r\nX-Call-Class: pay\r\nX-Caller: globex\r\n" +
 	"X-Budget-Ms: 480\r\nX-Call-Info: slots=2.5,new=1\r\nX-Call-Cost: 1500\r\nIdempotency-Key: k\r\nConnection: X-Odd\r\n" +
 	"X-Odd: 1\r\nContent-Length: 4\r\n\r\nbody"
 
@@ -37,18 +37,15 @@
 	if fault != nil {
 		t.Fatal(fault)
 	}
-	if q.ID != "9b1f" || q.Target != "/pay/x?obj=7f" || q.Scheme != 1 || q.Tenant != 1 || q.Slots != 2.5 ||
+	if q.ID != "9b1f" || q.Target != "/pay/x%2f<?obj=7f" || q.Scheme != 1 || q.Tenant != 1 || q.Slots != 2.5 ||
 		q.Hint != 1.5e6 || q.Budget != 480*time.Millisecond || string(q.Body) != "body" {
 		t.Errorf("%+v", q)
 	}
 	// Danger: a mark against repeats that stays behind, or a header of the client's connection that goes on.
-	out, err := (&Job{Address: "10.0.0.1:7", Request: q, Budget: 300 * time.Millisecond}).Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
+	out := (&Job{Address: "10.0.0.1:7", Request: q, Budget: 300 * time.Millisecond}).Encode()
 	var text strings.Builder
 	out.Write(&text)
-	for _, want := range []string{"POST /pay/x?obj=7f HTTP/1.1\r\n", "X-Call-Id: 9b1f\r\n", "X-Budget-Ms: 300\r\n",
+	for _, want := range []string{"POST /pay/x%2f<?obj=7f HTTP/1.1\r\n", "X-Call-Id: 9b1f\r\n", "X-Budget-Ms: 300\r\n",
 		"Idempotency-Key: k\r\n", "Content-Length: 4\r\n", "\r\n\r\nbody"} {
 		if !strings.Contains(text.String(), want) {
 			t.Errorf("%q is missing in %q", want, text.String())
@@ -66,6 +63,12 @@
 	}{
 		{"POST", "GET", 405},
 		{"X-Call-Id: 9b1f\r\n", "", 400},
+		{"9b1f", "9b 1f", 400},
+		{"9b1f", "9b\xff", 400},
+		{"9b1f", "9b1f\r\nX-Call-Id: 9b1f", 400},
+		{"/pay/x%2f", "/pay/\xff", 400},
+		{"/pay/x%2f", "http://h/pay/", 400},
+		{"X-Odd: 1", "X-Odd: \u00e9", 400},
 		{"Class: pay", "Class: nope", 404},
 		{"Class: pay", "Class: render", 404},
 		{"/pay/x", "/-/pay", 404},
@@ -178,9 +181,9 @@
 // TestBodyGoesOutOnce: a library that can wind a body back, or sees that there is none, sends again by itself.
 func TestBodyGoesOutOnce(t *testing.T) {
 	for _, body := range []string{"", "x"} {
-		out, err := (&Job{Request: &Request{Target: "/p", Body: []byte(body), Header: http.Header{}}}).Encode()
-		if err != nil || out.GetBody != nil || out.Body == nil || out.Body == http.NoBody {
-			t.Fatalf("%+v %v", out, err)
+		out := (&Job{Request: &Request{Target: "/p", Body: []byte(body), Header: http.Header{}}}).Encode()
+		if out.GetBody != nil || out.Body == nil || out.Body == http.NoBody {
+			t.Fatalf("%+v", out)
 		}
 		if _, canSeek := out.Body.(io.Seeker); canSeek {
 			t.Error("the body can be wound back")
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -45,6 +45,25 @@
 	Body   []byte
 }
 
+// plain says whether what goes on to an executor is text that any of them can read, and each name told once.
+// Danger: an executor closes on what it can't read, and what it was told besides is lost to this node.
+func plain(r *http.Request) bool {
+	ok := func(s string, least rune) bool {
+		return !strings.ContainsFunc(s, func(c rune) bool { return c < least && c != '\t' || c > '~' })
+	}
+	for name, values := range r.Header {
+		if strings.HasPrefix(name, "X-") && len(values) > 1 {
+			return false
+		}
+		for _, v := range values {
+			if !ok(v, ' ') {
+				return false
+			}
+		}
+	}
+	return strings.HasPrefix(r.RequestURI, "/") && ok(r.RequestURI, '!') && ok(r.Header.Get("X-Call-Id"), '!')
+}
+
 // Fault is an answer to a request that cannot be taken.
 type Fault struct {
 	Status int
@@ -62,6 +81,9 @@
 	if r.ContentLength > MaxBody {
 		return nil, &Fault{http.StatusRequestEntityTooLarge, tooLong}
 	}
+	if !plain(r) {
+		return nil, &Fault{http.StatusBadRequest, "target or header is not plain text, or told twice"}
+	}
 	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	q := &Request{ID: r.Header.Get("X-Call-Id"), Target: r.RequestURI, Slots: 1, Header: passedOn(r.Header)}
 	class := r.Header.Get("X-Call-Class")
--- a/internal/routing/life.go
+++ b/internal/routing/life.go
@@ -14,6 +14,29 @@
 	"fernrail/internal/protocol"
 )
 
+// remembered is how long an id is not taken again, and twice as long at most: whoever repeats another client's id goes on
+// for a while after that one has its answer. Clients use an id once.
+const remembered = 10 * time.Second
+
+// fresh says whether a txn's id is new to this node, and keeps it.
+// Danger: an id that is another client's, taken a second time; the two would run under one name, and the wrong one might
+// get the answer.
+func (n *Node) fresh(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if now := n.clock(); now-n.turned >= int64(remembered) {
+		n.ids[1], n.ids[0], n.turned = n.ids[0], map[string]bool{}, now
+		for _, l := range n.lives {
+			n.ids[0][l.request.ID] = true
+		}
+	}
+	if n.ids[0][id] || n.ids[1][id] {
+		return false
+	}
+	n.ids[0][id] = true
+	return true
+}
+
 // life is a txn that has no final answer yet.
 type life struct {
 	number  int // in the order of arrival
@@ -23,6 +46,9 @@
 
 // Serve is the life of one txn, from the request read whole to its one final answer.
 func (n *Node) Serve(ctx context.Context, q *protocol.Request) *protocol.Answer {
+	if !n.fresh(q.ID) {
+		return &protocol.Answer{Status: http.StatusConflict}
+	}
 	l := &life{request: q, answer: make(chan *protocol.Answer, 1)}
 	t := &dispatch.Txn{Tag: q.ID, Tenant: q.Tenant, Slots: q.Slots, Hint: q.Hint, Scheme: n.terms.Schemes[q.Scheme]}
 	err := n.event(func() {
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -42,8 +42,10 @@
 	mu      sync.Mutex // round the module and all below; never held over a write, a dial or a log line
 	module  *dispatch.Dispatcher
 	members map[string]*member
-	till    int64                                    // when the node ends
-	taken   int                                      // txns, ever
+	till    int64              // when the node ends
+	taken   int                // txns, ever
+	ids     [2]map[string]bool // of txns taken: since turned, and in the span before
+	turned  int64
 	lives   map[*dispatch.Txn]*life                  // txns without a final answer
 	out     map[*dispatch.Posting]context.CancelFunc // postings without an outcome
 	watch   chan bool                                // what the module wants of the list, at most one order
@@ -58,7 +60,7 @@
 // New starts the module on the list as it was last known.
 func New(terms *dispatch.Terms, seed uint64, known *protocol.List, c Carrier, l Lister, log zerolog.Logger) *Node {
 	n := &Node{terms: terms, carrier: c, lister: l, log: log, start: time.Now(), till: math.MaxInt64, members: map[string]*member{},
-		lives: map[*dispatch.Txn]*life{}, out: map[*dispatch.Posting]context.CancelFunc{}, watch: make(chan bool, 1), turn: make(chan Lister, 1)}
+		ids: [2]map[string]bool{{}, {}}, lives: map[*dispatch.Txn]*life{}, out: map[*dispatch.Posting]context.CancelFunc{}, watch: make(chan bool, 1), turn: make(chan Lister, 1)}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.module = dispatch.New(terms, seed, n, n.clock())
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -107,6 +107,27 @@
 	return &protocol.Request{ID: id, Scheme: scheme, Slots: 1, Budget: budget}
 }
 
+// TestIdIsTakenOnce: an id is refused while it is open, and for a while after; the first one is left as it is.
+func TestIdIsTakenOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &carrier{script: serves(15 * time.Second)}
+		n := New(terms(), 1, known("a", "b"), c, &lister{}, zerolog.Nop())
+		first := make(chan *protocol.Answer, 1)
+		go func() { first <- n.Serve(t.Context(), ask("j", 1, time.Minute)) }()
+		for at, want := range []int{409, 409, 409, 409, 409, 409, 200} {
+			synctest.Wait()
+			if a := n.Serve(t.Context(), ask("j", 1, time.Minute)); a == nil || a.Status != want {
+				t.Errorf("after %d s: %+v, want %d", 6*at, a, want)
+			}
+			n.Serve(t.Context(), ask(fmt.Sprint(at), 0, time.Millisecond))
+			time.Sleep(6 * time.Second)
+		}
+		if a := <-first; a == nil || a.Status != 200 {
+			t.Errorf("%+v", a)
+		}
+	})
+}
+
 func TestLife(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &carrier{script: serves(50 * time.Millisecond)}
@@ -132,7 +153,7 @@
 		n := New(terms(), 1, known("a", "b"), c, &lister{}, zerolog.Nop())
 		for scheme, status := range []int{503, 500} {
 			start := time.Now()
-			a := n.Serve(t.Context(), ask("j", scheme, time.Second))
+			a := n.Serve(t.Context(), ask(fmt.Sprint(scheme), scheme, time.Second))
 			if a == nil || a.Status != status || time.Since(start) >= time.Second {
 				t.Errorf("scheme %d: %+v after %s", scheme, a, time.Since(start))
 			}
@@ -230,8 +251,8 @@
 		defer stop()
 		go n.Follow(ctx)
 		time.Sleep(500 * time.Millisecond)
-		for range 20 {
-			n.Serve(t.Context(), ask("j", 0, time.Second))
+		for i := range 20 {
+			n.Serve(t.Context(), ask(fmt.Sprint(i), 0, time.Second))
 		}
 		for _, j := range c.jobs {
 			if j.Address != "elsewhere:7" {
--- a/internal/transport/executors.go
+++ b/internal/transport/executors.go
@@ -57,11 +57,6 @@
 // it looks after the connection.
 func (x *Executors) Do(ctx context.Context, job *protocol.Job, heard func(protocol.Line),
 	ended func(o dispatch.Outcome, result string, cause error)) {
-	request, err := job.Encode()
-	if err != nil {
-		ended(dispatch.Unsent, "", err)
-		return
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var used *conn
@@ -78,7 +73,7 @@
 			}
 		},
 	}
-	response, err := x.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	response, err := x.transport.RoundTrip(job.Encode().WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		ended(failed(ctx, used, err), "", err)
 		return
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -133,7 +133,7 @@
 		return
 	}
 	if answer := s.serve(r.Context(), q); answer != nil {
-		if s.stopping.Load() {
+		if s.stopping.Load() || answer.Status == http.StatusConflict {
 			w.Header().Set("Connection", "close")
 		}
 		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(reading))
