A prompt start takes back what refusals cut from an executor's limit

At fault: adjust takes any refusal for a full machine (cut and pause). A machine that is full has a queue, and starts nothing at once. So a limit that refusals cut comes back with the next prompt start, until a late one says that it was full after all.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -98,23 +98,21 @@
 
 // Dispatcher is the decision module of one node.
 type Dispatcher struct {
-	terms   *Terms
-	door    Door
-	born    int64
-	now     int64
-	chance  pcg
-	fleet   []*Executor
-	queue   []*Txn
-	recent  map[family][]last
-	runs    []spread         // by scheme: running time over hint, or in seconds where there is no hint
-	prompt  int64            // least time seen from sending to the note of the start; 0: none seen
-	sizes   map[int]float64  // by kind: most slots seen at work in one executor
-	kinds   map[int]ledger   // by kind: scores over the top score
-	tenants []ledger         // arrivals
-	schemes []ledger         // billing value
-	all     Executor         // stands for the fleet: slots of all open postings, with a limit of their own
-	pumped  bool             // an alarm to look at the queue is out
-	starts  map[bool]*ledger // by whether at home: postings whose start was due, and of these the prompt ones
+	terms            *Terms
+	door             Door
+	born, now        int64
+	chance           pcg
+	fleet            []*Executor
+	queue            []*Txn
+	recent           map[family][]last
+	runs             []spread         // by scheme: running time over hint, or in seconds where there is no hint
+	prompt           int64            // least time seen from sending to the note of the start; 0: none seen
+	sizes            map[int]float64  // by kind: most slots seen at work in one executor
+	kinds            map[int]ledger   // by kind: scores over the top score
+	tenants, schemes []ledger         // arrivals, and billing value
+	all              Executor         // stands for the fleet: slots of all open postings, with a limit of their own
+	pumped           bool             // an alarm to look at the queue is out
+	starts           map[bool]*ledger // by whether at home: postings whose start was due, and of these the prompt ones
 }
 
 func New(terms *Terms, seed uint64, door Door, now int64) *Dispatcher {
@@ -297,7 +295,6 @@
 func (d *Dispatcher) health(e *Executor) float64 {
 	// Danger: nearly all executors are well; working out a drift for each at every draw is the dearest step.
 	if e.h == 1 || float64(d.now-e.hAt) > 7*recovery {
-		e.h = 1
 		return 1
 	}
 	return 1 - (1-e.h)*math.Exp(-float64(d.now-e.hAt)/recovery)
@@ -422,6 +419,7 @@
 			if p.sent >= d.all.idleAt && d.prompts(true) < 1-ease {
 				d.all.limit, d.all.idleAt = max(ease*min(d.all.limit, d.all.busy), 1), d.now
 			}
+			p.Executor.room = 0
 			d.adjust(p.Executor, p.Executor.busy, false)
 			d.awaitStart(p)
 		}
@@ -487,6 +485,8 @@
 	}
 	starts.earned++
 	d.all.limit += growth
+	// Danger: executors that turn part away without being full stand empty. One that were would not start at once.
+	e.limit, e.room = max(e.limit, e.room), 0
 	if busy+1 >= e.limit {
 		e.limit += growth * min(e.limit, 1)
 	}
@@ -562,6 +562,7 @@
 		}
 	case Full:
 		// Danger: an executor that turns all away at once looks idle and draws everything; its limit falls as well.
+		e.room = max(e.room, e.limit)
 		d.adjust(e, e.busy+t.Slots, false)
 	}
 	if over {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -138,6 +138,31 @@
 	}
 }
 
+// A machine that turns part away with room to spare must not stand empty; one that is full starts late, and stays cut.
+func TestRefusalsWithRoomToSpare(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		w := newWorld(t, 1, basicTerms())
+		w.join(1, false)
+		e := w.fleet[0].Executor
+		w.arrive(0, 1, 1e8, 5e9)
+		w.settle() // how prompt a start can be is known
+		had := e.limit
+		w.arrive(0, 1, 1e8, 5e9)
+		if w.end(w.open[0], Full); e.limit > had/2 {
+			t.Fatalf("limit is %v, not cut from %v", e.limit, had)
+		}
+		for len(w.open) == 0 { // until it goes again
+			w.pass(w.terms.Tick)
+		}
+		if late {
+			w.pass(2e8)
+		}
+		if w.settle(); late == (e.limit >= had) {
+			t.Fatalf("late %t: limit is %v, %v before the refusal", late, e.limit, had)
+		}
+	}
+}
+
 // In a jam start notes come late; the limits must fall all the same, to a part of a slot for many nodes.
 func TestLimitFallsInJam(t *testing.T) {
 	w := newWorld(t, 1, basicTerms())
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -161,7 +161,8 @@
 	busy   float64 // slots of open postings
 	atWork float64 // of these, slots of started ones
 	limit  float64
-	idleAt int64 // when the latest posting ended
+	room   float64 // what it was before refusals cut it, until a start is late
+	idleAt int64   // when the latest posting ended
 	sends  []charge
 }
 
