A kept connection that was gone at once is not blamed on its executor

A probe of each posting: 426 of 503 broken ones met a kept connection, 356 of these before any line, at once (0 ms); of kept connections idle for over 100 ms 45% are gone, of those under 50 ms 4%. At fault: failed() calls all of these Broken, and blame follows. New outcome Stale: may have run as before, no blame if it shows within the time a start is waited for. A kept connection on which nothing was written is Unsent.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -556,8 +556,9 @@
 			d.adjust(e, e.busy+t.Slots, ran <= high)
 		}
 		d.runs[t.Scheme.Index].add(float64(ran) / t.unit())
-	case Erred, TimedOut, Undialed, Broken:
-		if !p.withdrawn {
+	case Erred, TimedOut, Undialed, Broken, Stale:
+		// Danger: connections that what stands between closes early make every executor look ill. It shows at once.
+		if !p.withdrawn && (o != Stale || took > d.patience()) {
 			d.blame(p)
 		}
 	case Full:
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -63,6 +63,16 @@
 	near(before + reward)
 	w.pass(recovery)
 	near(1 - (1-before-reward)*0.37)
+	// A kept connection that was gone shows at once; what breaks later, the executor broke.
+	for _, took := range []int64{0, 1e9} {
+		w.arrive(0, 1, 1e8, 2e10)
+		p := w.open[len(w.open)-1]
+		w.now += took
+		w.d.At(w.now)
+		before = w.d.health(e)
+		w.end(p, Stale)
+		near(before * map[int64]float64{0: 1, 1e9: penalty}[took])
+	}
 }
 
 func TestRankAgainstTwoOthers(t *testing.T) {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -95,6 +95,7 @@
 	Broken                  // connection lost, may have run
 	Revoked                 // withdrawn, may have run
 	Unsent                  // never left
+	Stale                   // met a kept connection that was gone; may have run
 )
 
 // Door is how the module acts on the world. Tag fields are the door's own names; the module never reads them.
--- a/internal/transport/executors.go
+++ b/internal/transport/executors.go
@@ -75,7 +75,7 @@
 	}
 	response, err := x.transport.RoundTrip(job.Encode().WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		ended(failed(ctx, used, err), "", err)
+		ended(failed(ctx, used, use > 1, err), "", err)
 		return
 	}
 	defer response.Body.Close()
@@ -139,7 +139,8 @@
 }
 
 // failed is the outcome of a posting that got no answer, by what is proved.
-func failed(ctx context.Context, used *conn, err error) dispatch.Outcome {
+// Danger: kept connections that executors, or what stands between, close early are taken for executors in trouble.
+func failed(ctx context.Context, used *conn, kept bool, err error) dispatch.Outcome {
 	switch {
 	case used == nil && errors.Is(err, errShort):
 		return dispatch.Unsent
@@ -151,10 +152,12 @@
 	}
 	never, yielded := used.unsent()
 	switch {
-	case never && yielded:
+	case never && (yielded || kept):
 		return dispatch.Unsent
 	case never:
 		return dispatch.Undialed
+	case kept:
+		return dispatch.Stale
 	}
 	return dispatch.Broken
 }
