The door of a node told to end stays open for nine tenths of its time to stop

Checked by logging every decline and every read: what is missing never reached a node, from the time a stopping node shuts its door until it is back. Nine tenths leave 0.36 s for the last answers, whose expiry lies before.

--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -26,7 +26,7 @@
 	// quiet is how long new connections may go on coming after the order to stop, and some more.
 	quiet = 500 * time.Millisecond
 	// open is the part of the time to stop in which requests are still taken; the rest is for their answers.
-	open = 0.8
+	open = 0.9
 )
 
 // Serve is the life of one request: it gives the one final answer, or nil if the client has left.
