A limit is cut once for what was sent since it last fell

A log of each start beside what both nodes had out shows that late starts are real (four to six out at once), but come in bunches; adjust halved the limit for each of the bunch. It now falls once for what was sent before the cut.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -110,9 +110,9 @@
 	sizes            map[int]float64  // by kind: most slots seen at work in one executor
 	kinds            map[int]ledger   // by kind: scores over the top score
 	tenants, schemes []ledger         // arrivals, and billing value
-	all              Executor         // stands for the fleet: slots of all open postings, with a limit of their own
+	all              Executor         // stands for the fleet: slots of all open postings, and their limit
 	pumped           bool             // an alarm to look at the queue is out
-	starts           map[bool]*ledger // by whether at home: postings whose start was due, and of these the prompt ones
+	starts           map[bool]*ledger // by whether at home: postings whose start was due; the prompt ones
 }
 
 func New(terms *Terms, seed uint64, door Door, now int64) *Dispatcher {
@@ -268,9 +268,8 @@
 	return d.warmEnough(t, e)
 }
 
-// warmEnough keeps this node's part of a cold executor's budget.
-// Danger: a cold executor pushed over by all nodes together; each counts everything it sends, refused or not.
-// A node that was killed does not know what it had sent, so a new one first lets that leave the window.
+// warmEnough keeps this node's part of a cold executor's budget, by all that was sent, refused or not.
+// Danger: one pushed over by all nodes together, or by a new node that knows nothing of what it sent before.
 func (d *Dispatcher) warmEnough(t *Txn, e *Executor) bool {
 	sum, warmth := t.size, d.warmth(e)
 	for _, c := range e.sends {
@@ -420,7 +419,7 @@
 				d.all.limit, d.all.idleAt = max(ease*min(d.all.limit, d.all.busy), 1), d.now
 			}
 			p.Executor.room = 0
-			d.adjust(p.Executor, p.Executor.busy, false)
+			d.adjust(p, p.Executor.busy, false)
 			d.awaitStart(p)
 		}
 	})
@@ -477,15 +476,18 @@
 }
 
 // adjust moves an executor's in-flight limit by how prompt a start was; one slot stays for all nodes.
-func (d *Dispatcher) adjust(e *Executor, busy float64, prompt bool) {
-	starts := d.starts[e.zone == d.terms.Zone]
+func (d *Dispatcher) adjust(p *Posting, busy float64, prompt bool) {
+	e, starts := p.Executor, d.starts[p.Executor.zone == d.terms.Zone]
 	if starts.fade(d.now).asked++; !prompt {
-		e.limit = max(cut*min(e.limit, busy), 1/float64(max(d.terms.Nodes, 1)))
+		// Danger: one pause of a machine makes all that it holds late; cut for each, hardly a limit would be left.
+		if p.sent >= e.cutAt {
+			e.limit, e.cutAt = max(cut*min(e.limit, busy), 1/float64(max(d.terms.Nodes, 1))), d.now
+		}
 		return
 	}
 	starts.earned++
 	d.all.limit += growth
-	// Danger: executors that turn part away without being full stand empty. One that were would not start at once.
+	// Danger: executors that turn part away though not full stand empty. A full one would not start at once.
 	e.limit, e.room = max(e.limit, e.room), 0
 	if busy+1 >= e.limit {
 		e.limit += growth * min(e.limit, 1)
@@ -553,18 +555,17 @@
 		}
 		ran := d.now - max(p.sent, p.started)
 		if high := d.running(t, highEnd); !d.terms.TellsStart && (ran <= high || ran > 2*high) {
-			d.adjust(e, e.busy+t.Slots, ran <= high)
+			d.adjust(p, e.busy+t.Slots, ran <= high)
 		}
 		d.runs[t.Scheme.Index].add(float64(ran) / t.unit())
-	case Erred, TimedOut, Undialed, Broken, Stale:
-		// Danger: connections that what stands between closes early make every executor look ill. It shows at once.
+	case Erred, TimedOut, Undialed, Broken, Stale: // Danger: a gone connection, at once, is no sick executor
 		if !p.withdrawn && (o != Stale || took > d.patience()) {
 			d.blame(p)
 		}
 	case Full:
 		// Danger: an executor that turns all away at once looks idle and draws everything; its limit falls as well.
 		e.room = max(e.room, e.limit)
-		d.adjust(e, e.busy+t.Slots, false)
+		d.adjust(p, e.busy+t.Slots, false)
 	}
 	if over {
 		d.Left(t)
@@ -615,7 +616,7 @@
 	e.atWork += t.Slots
 	d.sizes[e.kind] = max(d.sizes[e.kind], e.atWork)
 	if d.now-p.sent <= d.tolerated(p) {
-		d.adjust(e, e.busy, true)
+		d.adjust(p, e.busy, true)
 	}
 	// Tied copies: the first to start is kept, the others are still waiting and cost nothing to take back.
 	for _, q := range t.Postings {
@@ -666,8 +667,7 @@
 
 // earns is the billing value a slot and second to be expected of a waiting txn; 0: give it up now.
 func (d *Dispatcher) earns(t *Txn) float64 {
-	part := d.onTime(t)
-	part += (1 - part) * t.Scheme.LateValue
+	part := t.Scheme.LateValue + (1-t.Scheme.LateValue)*d.onTime(t)
 	if part < hopeless || d.now+d.running(t, 0.5) >= t.Expiry || d.now-t.arrived > 2*(t.aim-t.arrived) {
 		return 0
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -173,6 +173,21 @@
 	}
 }
 
+// A pause of a machine makes all that it holds late; that is one event, and its limit falls once for it.
+func TestOnePauseCutsOnce(t *testing.T) {
+	w := newWorld(t, 1, basicTerms())
+	w.join(1, false)
+	w.arrive(0, 1, 1e8, 5e9)
+	w.settle()
+	e := w.fleet[0].Executor
+	for range 4 {
+		w.arrive(0, 1, 1e8, 5e9)
+	}
+	if w.pass(3e8); len(w.open) < 4 || e.limit != cut*4 {
+		t.Fatalf("%d out, limit is %v", len(w.open), e.limit)
+	}
+}
+
 // In a jam start notes come late; the limits must fall all the same, to a part of a slot for many nodes.
 func TestLimitFallsInJam(t *testing.T) {
 	w := newWorld(t, 1, basicTerms())
@@ -327,7 +342,7 @@
 	w.join(8, false)
 	for _, m := range w.fleet {
 		for range 20 {
-			w.d.adjust(m.Executor, 0, m.Zone != 0)
+			w.d.adjust(&Posting{Executor: m.Executor, sent: w.now}, 0, m.Zone != 0)
 		}
 		m.Executor.limit = firstRoom
 	}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -164,6 +164,7 @@
 	limit  float64
 	room   float64 // what it was before refusals cut it, until a start is late
 	idleAt int64   // when the latest posting ended
+	cutAt  int64   // when the limit was last cut
 	sends  []charge
 }
 
