--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -7,8 +7,6 @@
 import (
 	"container/list"
 	"context"
-	"math"
-	"math/bits"
 	"net"
 	"sync"
 	"time"
@@ -56,7 +54,6 @@
 	yielding  int          // clients' connections told to give way and not closed yet
 	working   int          // clients' connections with a request on them
 	stopping  bool
-	ages      ages
 }
 
 func NewDescriptors(sockets int) *Descriptors {
@@ -204,7 +201,6 @@
 		return
 	}
 	d.leave(c)
-	c.came = time.Now()
 	if c.put(&d.idle[c.of]); d.stopping && c.of == clients {
 		d.yield()
 	}
@@ -244,74 +240,15 @@
 	return nil
 }
 
-// ages tells, by doubling idle time, how many kept connections to executors were used again and how many of them were gone.
-type ages struct {
-	used, gone [16]int
-	faded      time.Time
-}
-
-const (
-	firstAge = 10 * time.Millisecond // idle times up to this count together
-	fewUses  = 4                     // of an age that say something
-	tooGone  = 0.25                  // share that is gone at which a new connection is the better choice
-	fading   = 10 * time.Second      // after which counts are halved, so that an age is tried again
-)
-
-func (a *ages) add(idle time.Duration, gone bool) {
-	i := min(bits.Len(uint(idle/firstAge)), len(a.used)-1)
-	if a.used[i]++; gone {
-		a.gone[i]++
-	}
-}
-
-// limit is the idle time from which on too many are gone.
-func (a *ages) limit(now time.Time) time.Duration {
-	if now.Sub(a.faded) > fading {
-		for i := range a.used {
-			a.used[i], a.gone[i] = a.used[i]/2, a.gone[i]/2
-		}
-		a.faded = now
-	}
-	for i := range a.used {
-		if a.used[i] >= fewUses && float64(a.gone[i]) >= tooGone*float64(a.used[i]) {
-			return firstAge << i / 2
-		}
-	}
-	return math.MaxInt64
-}
-
-// weed closes idle connections to executors that have rested too long to be there still, by what was met lately.
-// Danger: executors, and what stands between, close kept connections long before the time in the settings, unseen.
-// Each use of such a one is a posting gone for nothing, and a txn has few.
-func (d *Descriptors) weed() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	limit := d.ages.limit(now)
-	for first := d.idle[executors].Front(); first != nil; first = d.idle[executors].Front() {
-		if now.Sub(first.Value.(*conn).came) < limit {
-			return
-		}
-		d.end(&d.idle[executors])
-	}
-}
-
-// met tells of the use of a connection to an executor that was idle.
-func (d *Descriptors) met(idle time.Duration, gone bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.ages.add(idle, gone)
-}
-
 // conn is a connection with its place in the budget. For those to executors it also keeps what proves that a
 // request was never sent whole.
 type conn struct {
 	net.Conn
 	owner   *Descriptors
 	of      side
-	came    time.Time // to where it is
-	spare   bool      // a client's that can only be turned away
-	working bool      // under owner.mu, as are those up to yielded
+	came    time.Time
+	spare   bool // a client's that can only be turned away
+	working bool // under owner.mu, as are those up to yielded
 	in      *list.List
 	at      *list.Element // of in
 	uses    int
--- a/internal/transport/executors.go
+++ b/internal/transport/executors.go
@@ -23,14 +23,13 @@
 
 // Executors holds the connections to executors.
 type Executors struct {
-	transport   *http.Transport
-	descriptors *Descriptors
+	transport *http.Transport
 }
 
 // NewExecutors: dial is how long a connection may take to come up, idle how long executors keep an unused one.
 func NewExecutors(d *Descriptors, dial, idle time.Duration) *Executors {
 	dialer := &net.Dialer{Timeout: dial, KeepAlive: -1}
-	return &Executors{descriptors: d, transport: &http.Transport{
+	return &Executors{&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if !d.take(executors) {
 				return nil, errShort
@@ -60,13 +59,11 @@
 	ended func(o dispatch.Outcome, result string, cause error)) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	x.descriptors.weed()
 	var used *conn
 	var use int
-	var idle time.Duration
 	trace := &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			used, idle = i.Conn.(*conn), i.IdleTime
+			used = i.Conn.(*conn)
 			use = used.owner.busy(used)
 			used.start()
 		},
@@ -78,16 +75,9 @@
 	}
 	response, err := x.transport.RoundTrip(job.Encode().WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		o := failed(ctx, used, use > 1, err)
-		if o == dispatch.Stale {
-			x.descriptors.met(idle, true)
-		}
-		ended(o, "", err)
+		ended(failed(ctx, used, use > 1, err), "", err)
 		return
 	}
-	if use > 1 {
-		x.descriptors.met(idle, false)
-	}
 	defer response.Body.Close()
 	switch {
 	case protocol.TurnedAway(response):
