Late starts leave each node its part of the slots that a machine of the kind ran

Seen (reload, wide+reset+stale): txns are given up with limits of 0.5 to 1.5 at machines of four slots shared by two nodes; starts are late at four to six out at once, and in most windows two or three are. At fault: a late start halves the limit down to one slot over the number of nodes, whatever the machine was seen to carry. The floor is now this node's part of the most slots seen at work at once in one executor of the kind, unless the limit was lower already: refusals still pause. With many nodes that is under a slot, as before.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -2,8 +2,7 @@
 
 // Package dispatch decides, for one node, which executor gets which txn, and when a txn is given up.
 //
-// How to call it: New at start; At with the clock before each event; one call an event (List, ListFailed,
-// Arrive, Expire, Started, Progress, Ended, Left, alarms); Settle after a round. It acts by Door, types.go.
+// How to call it: New at start; At with the clock, then one call for each event; Settle after a round.
 package dispatch
 
 import (
@@ -354,8 +353,7 @@
 			}
 		}
 	}
-	// Danger: walking a large fleet for every txn makes a node late. While its slots out are few beside the
-	// executors, throws that keep an idle one with the chance of its weight come to the same draw.
+	// Danger: walking a large fleet for every txn makes a node late. With few slots out throws draw alike.
 	for i := 0; i < throws && pick == nil && throws*d.all.busy < float64(len(d.fleet)); i++ {
 		e := d.fleet[int(d.chance.unit()*float64(len(d.fleet)))]
 		if idle(e) && d.chance.unit() < d.weight(e) && d.allowed(t, e) {
@@ -418,8 +416,10 @@
 			if p.sent >= d.all.idleAt && d.prompts(true) < 1-ease {
 				d.all.limit, d.all.idleAt = max(ease*min(d.all.limit, d.all.busy), 1), d.now
 			}
-			p.Executor.room = 0
+			// Danger: machines of many slots stand half empty. Late starts leave each node its part of what one ran.
+			least := min(p.Executor.limit, d.sizes[p.Executor.kind]/float64(max(d.terms.Nodes, 1)))
 			d.adjust(p, p.Executor.busy, false)
+			p.Executor.room, p.Executor.limit = 0, max(p.Executor.limit, least)
 			d.awaitStart(p)
 		}
 	})
