--- /dev/null
+++ b/cmd/fernlab/count_test.go
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const logged = `0.1 {"message":"node serves","node":"n1"}
+0.2 {"message":"posting","node":"n1","executor":"a","outcome":"settled","number":0,"sent_us":1000000,"began_us":1001000}
+0.2 {"message":"posting","node":"n2","executor":"a","outcome":"full","number":1,"sent_us":1500000,"began_us":0}
+0.3 {"message":"posting","node":"n2","executor":"b","outcome":"settled","number":2,"sent_us":2100000,"began_us":2500000}
+0.4 {"message":"list","node":"n2","time":"1970-01-01T00:00:02.2Z"}
+0.5 {"message":"posting","node":"n2","exec`
+
+// TestCountOverNodes: rows add up what several nodes logged; the line that a killed node cut short is passed over.
+func TestCountOverNodes(t *testing.T) {
+	var lines []line
+	for text := range strings.Lines(logged) {
+		if l, ok := read([]byte(text)); ok {
+			lines = append(lines, l)
+		}
+	}
+	var out strings.Builder
+	c := &count{Step: time.Second, Late: 20 * time.Millisecond, By: "both"}
+	if err := c.tell(&out, lines); err != nil {
+		t.Fatal(err)
+	}
+	fields := strings.Join(strings.Fields(out.String()), " ")
+	for _, want := range []string{
+		"0.00 2 1 0 2 1 1.0 0 full 1 settled 1",
+		"1.00 1 1 1 1 1 400.0 1 settled 1",
+		"a 0.00 2 0 2 1.0 full 1 settled 1",
+		"b 1.10 1 1 1 400.0 settled 1",
+	} {
+		if !strings.Contains(fields, want) {
+			t.Errorf("%q is not in\n%s", want, out.String())
+		}
+	}
+}
--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -31,6 +31,7 @@
 const memoryPart = 0.75
 
 func main() {
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	log := zerolog.New(os.Stdout).With().Timestamp().Logger()
 	if err := run(log); err != nil {
 		log.Error().Err(err).Msg("node ends")
@@ -48,7 +49,7 @@
 	}
 	// Danger: a node in trouble that spends its core on telling so.
 	few := &zerolog.BurstSampler{Burst: 20, Period: time.Second}
-	log = log.With().Str("node", c.Name).Logger().Sample(&zerolog.LevelSampler{DebugSampler: few, WarnSampler: few})
+	log = log.With().Str("node", c.Name).Logger().Level(c.Log).Sample(&zerolog.LevelSampler{DebugSampler: few, WarnSampler: few})
 	runtime.GOMAXPROCS(max(int(math.Ceil(c.Cores)), 1))
 	debug.SetMemoryLimit(int64(memoryPart * float64(c.Memory)))
 
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -41,7 +41,7 @@
 // Terms are the settings handed over at start, decoded once.
 type Terms struct {
 	Zone         int // of this node
-	Nodes        int
+	Nodes, Me    int // how many there are, and this one's index among them
 	Tick         int64
 	Schemes      []*Scheme
 	Tenants      []*Tenant
@@ -98,6 +98,10 @@
 	Stale                   // met a kept connection that was gone; may have run
 )
 
+func (o Outcome) String() string {
+	return [...]string{"settled", "erred", "full", "timed out", "undialed", "broken", "revoked", "unsent", "stale"}[o]
+}
+
 // Door is how the module acts on the world. Tag fields are the door's own names; the module never reads them.
 type Door interface {
 	Post(p *Posting)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,6 +14,8 @@
 	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"fernrail/dispatch"
 	"fernrail/internal/protocol"
 )
@@ -31,6 +33,7 @@
 	Dial                    time.Duration // for a connection to an executor to come up
 	Idle                    time.Duration // after which an executor closes an unused connection
 	Longest                 time.Duration // expiry of the scheme that has the longest
+	Log                     zerolog.Level // the least that is logged; trace tells of each posting
 
 	said map[string]string // the file's values by dotted name, but for those that concern a start alone
 }
@@ -148,6 +151,13 @@
 		}
 		return v
 	}
+	n.Log = zerolog.DebugLevel
+	if level := env("EDGE_LOG"); level != "" {
+		var err error
+		if n.Log, err = zerolog.ParseLevel(level); err != nil {
+			return fmt.Errorf("EDGE_LOG: %q is not a level, such as trace, debug, info or warn", level)
+		}
+	}
 	if n.Name = env("EDGE_NAME"); n.Name == "" {
 		n.Name = r.word("name")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -75,6 +75,10 @@
 			t.Errorf("%s: %v, want %q", c.to, err, c.want)
 		}
 	}
+	if _, err := parse([]byte(whole), func(v string) string { return map[string]string{"EDGE_LOG": "loud"}[v] }); err == nil ||
+		!strings.Contains(err.Error(), "EDGE_LOG") {
+		t.Error(err)
+	}
 	if _, err := Load(nothing); err == nil || !strings.Contains(err.Error(), "EDGE_CONFIG") {
 		t.Error(err)
 	}
--- a/internal/routing/life.go
+++ b/internal/routing/life.go
@@ -105,7 +105,10 @@
 func (n *Node) carry(ctx context.Context, withdraw context.CancelFunc, p *dispatch.Posting, job *protocol.Job) {
 	sent := n.clock()
 	defer withdraw()
+	began := int64(0) // when it told of its start
 	ended := func(o dispatch.Outcome, result string, cause error) {
+		n.log.Trace().Str("id", p.Txn.Tag).Int("number", p.Number).Str("executor", p.Executor.Tag).Stringer("outcome", o).
+			Int64("sent_us", sent/1e3).Int64("began_us", began/1e3).Int64("ended_us", n.clock()/1e3).Msg("posting")
 		n.event(func() {
 			if n.out[p] == nil {
 				return
@@ -117,7 +120,7 @@
 			n.module.Ended(p, o, n.clock()-sent, n.lives[p.Txn] == nil)
 		})
 		if cause != nil && o != dispatch.Revoked {
-			n.log.Debug().Err(cause).Str("executor", p.Executor.Tag).Int("outcome", int(o)).Msg("posting ended")
+			n.log.Debug().Err(cause).Str("executor", p.Executor.Tag).Stringer("outcome", o).Msg("posting ended")
 		}
 	}
 	// Danger: a fault in one posting's goroutine takes the node down; it may have run by then.
@@ -125,6 +128,7 @@
 		n.carrier.Do(ctx, job, func(line protocol.Line) {
 			n.event(func() {
 				if line.State == protocol.Started {
+					began = n.clock()
 					n.module.Started(p)
 				} else {
 					n.module.Progress(p, line.Share)
