Nodes take turns at cold executors where an even part of the budget is less than a txn

Cause: warmEnough gives each of 80 nodes an even part of the cold budget, 0.7 x 2.5 x 1.5 s x slots / 80, less than one txn. Ruled out: late news (all nodes have the list within 0.6 s), handshakes (4,105 for 17,500 postings, most in the first seconds). Change: where the even part is less than a large txn, a few nodes have their turn for a quarter of the window, by their index and the executor's start; what a turn's nodes may send together is a fifth of what the budget has for the window, since a window meets five turns. In its turn an executor weighs as much more as turns are seldom, so that on average it is drawn as before. A node sends nothing in a turn that began before it did. Where the even part is enough nothing changes.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -33,6 +33,7 @@
 	throws     = 16   // blind draws before a walk over the fleet; a home zone of a few is met by then
 	ease       = 0.75 // share of a limit on all slots out kept while prompt starts are under the rest; mild
 	overMark   = 1.3  // times the others' measure that a tenant may send; usage differs by tens of percent
+	turns      = 4    // parts of a fall's window in which nodes take turns at the cold; a fifth is lost at its ends
 	halveAt    = 64   // entries at which a histogram is halved; some tens of seconds of a scheme's answers
 )
 
@@ -105,6 +106,7 @@
 	queue            []*Txn
 	recent           map[family][]last
 	runs             []spread         // by scheme: running time over hint, or in seconds where there is no hint
+	works            spread           // size of txns, in seconds
 	prompt           int64            // least time seen from sending to the note of the start; 0: none seen
 	sizes            map[int]float64  // by kind: most slots seen at work in one executor
 	kinds            map[int]ledger   // by kind: scores over the top score
@@ -157,6 +159,7 @@
 	work := cmp.Or(t.Hint, d.running(t, 0.5))
 	t.aim = min(d.now+t.Scheme.SlaTime+int64(t.Scheme.Stretch*float64(work)), t.Expiry)
 	t.size = max(t.Slots, 1) * float64(work)
+	d.works.add(t.size / 1e9)
 	if t.value = t.Scheme.Value; d.terms.ByWork {
 		t.value *= t.size
 	}
@@ -270,19 +273,42 @@
 // warmEnough keeps this node's part of a cold executor's budget, by all that was sent, refused or not.
 // Danger: one pushed over by all nodes together, or by a new node that knows nothing of what it sent before.
 func (d *Dispatcher) warmEnough(t *Txn, e *Executor) bool {
-	sum, warmth := t.size, d.warmth(e)
+	if d.warmth(e, d.now) == 1 {
+		return true
+	}
+	part, since, turn, _ := d.part(e)
+	sum := t.size
 	for _, c := range e.sends {
-		if d.now-c.at <= d.terms.Fall {
+		if c.at >= since {
 			sum += c.work
 		}
 	}
-	part := safety * d.terms.FallMultiple * float64(d.terms.Fall) / float64(max(d.terms.Nodes, 1))
-	return warmth == 1 || d.now-d.born >= d.terms.Fall && sum <= part*warmth*max(d.sizes[e.kind], 1)
+	return turn && d.born <= since && sum <= part
 }
 
-// warmth is the share of its capacity that an executor has at least.
-func (d *Dispatcher) warmth(e *Executor) float64 {
-	age := float64(d.now - e.since)
+// part is what this node may send a cold executor, since when that counts, whether it may now at all, and how
+// many nodes take turns with it.
+// Danger: an even part of many nodes is less than one txn; none would send any, and what was swapped or came back
+// stands empty until it is warm. Then a few nodes have their turn at a time, by their index among them and the
+// executor's start, which all of them know, for a fraction of the window that a fall takes.
+func (d *Dispatcher) part(e *Executor) (part float64, since int64, turn bool, of float64) {
+	all, nodes := safety*d.terms.FallMultiple*float64(d.terms.Fall)*max(d.sizes[e.kind], 1), max(d.terms.Nodes, 1)
+	least := d.works.at(highEnd, 0) * 1e9
+	if even := all * d.warmth(e, d.now) / float64(nodes); even >= least {
+		return even, d.now - d.terms.Fall, true, 1
+	}
+	length := max(d.terms.Fall/turns, 1)
+	n := max(d.now-e.since, 0) / length
+	since = e.since + n*length
+	all *= d.warmth(e, since) / (turns + 1) // a window meets one turn more than it is long
+	members := max(int64(min(all/least, float64(nodes))), 1)
+	groups := (int64(nodes) + members - 1) / members
+	return all / float64(members), since, (n+int64(d.terms.Me)+e.since/1e6)%groups == 0, float64(groups)
+}
+
+// warmth is the share of its capacity that an executor has at least, at a time.
+func (d *Dispatcher) warmth(e *Executor, at int64) float64 {
+	age := float64(at - e.since)
 	if e.since == 0 || age >= float64(d.terms.Cold) {
 		return 1
 	}
@@ -304,7 +330,11 @@
 	s := d.kinds[e.kind]
 	score := (s.earned + unscored) / (s.asked + 1)
 	score = (float64(e.sum)/topScore + score*kindScores) / (float64(e.pooled) + kindScores)
-	return max(score, 0.01) * d.health(e) * d.warmth(e)
+	if warmth := d.warmth(e, d.now); warmth < 1 {
+		_, _, _, groups := d.part(e) // seldom in turn, it is taken as much likelier then
+		score *= warmth * groups
+	}
+	return max(score, 0.01) * d.health(e)
 }
 
 // waits says whether the executor is passed over: it has refused one, or kept this node waiting lately.
@@ -347,7 +377,7 @@
 	}
 	// An executor that was prompt and has a connection open still is likelier to have room, without a handshake.
 	for _, e := range d.fleet {
-		if d.now < e.keptTill && e.limit >= 1 && idle(e) && d.allowed(t, e) {
+		if (d.now < e.keptTill || d.warmth(e, d.now) < 1) && e.limit >= 1 && idle(e) && d.allowed(t, e) {
 			if sum += d.weight(e); d.chance.unit()*sum < d.weight(e) {
 				pick = e
 			}
@@ -394,7 +424,7 @@
 	p := &Posting{Txn: t, Executor: e, Number: len(t.Postings), Open: true, sent: d.now}
 	t.Postings = append(t.Postings, p)
 	e.busy, d.all.busy, t.live = e.busy+t.Slots, d.all.busy+t.Slots, t.live+1
-	if d.warmth(e) < 1 {
+	if d.warmth(e, d.now) < 1 {
 		old := func(c charge) bool { return d.now-c.at > d.terms.Fall }
 		e.sends = append(slices.DeleteFunc(e.sends, old), charge{d.now, t.size})
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -14,7 +14,6 @@
 		w.terms.MayDuplicate = terms&1 == 0
 		w.terms.MayCancel = terms&2 == 0
 		w.terms.TellsStart = terms&4 == 0
-		// A node keeps its part by itself, so that hundreds of quiet nodes together keep the cold budget.
 		w.terms.Nodes, w.terms.Reports = 1+int(seed%3)*200, terms&16 != 0
 		if terms&8 != 0 {
 			w.terms.CrossPrice, w.terms.Progress = 0.1, 0
--- /dev/null
+++ b/dispatch/fleet_test.go
@@ -0,0 +1,193 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// herd is many nodes that share nothing but the clock and the executors.
+type herd struct {
+	*rand.Rand
+	terms  *Terms
+	now    int64
+	nodes  []*herdNode
+	since  []int64 // of each executor
+	sent   [][]charge
+	slots  float64
+	hasty  bool // every posting is turned away at once, so that all that the nodes hold goes out again
+	settle int64
+}
+
+// herdNode is the Door of one of them.
+type herdNode struct {
+	*herd
+	d      *Dispatcher
+	fleet  []*Executor
+	alarms []*alarm
+	open   []*Posting
+	at     map[*Posting]int64
+}
+
+func (n *herdNode) Post(p *Posting) {
+	i := slices.Index(n.fleet, p.Executor)
+	n.sent[i] = append(n.sent[i], charge{n.now, p.Txn.size})
+	n.open, n.at[p] = append(n.open, p), n.now
+}
+func (n *herdNode) Withdraw(*Posting)   {}
+func (n *herdNode) Decline(*Txn, int64) {}
+func (n *herdNode) Reverse(*Txn)        {}
+func (n *herdNode) Watch(bool)          {}
+func (n *herdNode) Alarm(after int64, then func()) (forget func()) {
+	a := &alarm{n.now + max(after, 1), then}
+	n.alarms = append(n.alarms, a)
+	return func() { n.alarms = slices.DeleteFunc(n.alarms, func(b *alarm) bool { return a == b }) }
+}
+
+func newHerd(seed uint64, nodes, executors int) *herd {
+	h := &herd{Rand: rand.New(rand.NewPCG(seed, 2)), now: 1e12, slots: testSlots, settle: 1e8}
+	h.terms = basicTerms()
+	h.terms.Nodes, h.terms.Schemes, h.terms.Tick = nodes, h.terms.Schemes[:1], 2e7
+	h.since, h.sent = make([]int64, executors), make([][]charge, executors)
+	for i := range nodes {
+		terms := *h.terms
+		terms.Me = i
+		h.start(&terms)
+	}
+	return h
+}
+
+func (h *herd) start(terms *Terms) {
+	n := &herdNode{herd: h, at: map[*Posting]int64{}}
+	n.d = New(terms, h.Uint64(), n, h.now)
+	for range h.since {
+		n.fleet = append(n.fleet, &Executor{})
+	}
+	if len(h.nodes) <= terms.Me {
+		h.nodes = append(h.nodes, n)
+	} else {
+		h.nodes[terms.Me] = n // started again: it knows nothing of what it sent before
+	}
+	n.list()
+}
+
+func (n *herdNode) list() {
+	var members []Member
+	for i, e := range n.fleet {
+		members = append(members, Member{Executor: e, Since: n.since[i]})
+	}
+	n.d.List(true, members)
+}
+
+// renew starts all executors again; starts tell how many have been seen at work in one.
+func (h *herd) renew(apart int64) {
+	for i := range h.since {
+		h.since[i] = h.now - h.Int64N(apart+1)
+	}
+	for _, n := range h.nodes {
+		n.list()
+		n.d.sizes[0] = 1 + float64(h.IntN(int(h.slots))) // nodes have seen more or less of it
+	}
+}
+
+// pass lets time go by; every node has work waiting that is as large as given, give or take half.
+func (h *herd) pass(span, size int64, share float64) {
+	for end := h.now + span; h.now < end; {
+		h.now += h.terms.Tick
+		for _, n := range h.nodes {
+			n.d.At(h.now)
+			due := slices.Clone(n.alarms)
+			n.alarms = slices.DeleteFunc(n.alarms, func(a *alarm) bool { return a.at <= h.now })
+			for _, a := range due {
+				if a.at <= h.now {
+					a.then()
+				}
+			}
+			if h.Float64() < share {
+				n.d.Arrive(&Txn{Scheme: h.terms.Schemes[0], Slots: 1, Hint: size/2 + h.Int64N(size), Expiry: h.now + 1e9})
+			}
+			n.d.Settle()
+			for _, p := range slices.Clone(n.open) {
+				if o := Settled; h.hasty || h.now-n.at[p] >= h.settle {
+					if h.hasty {
+						o = Full
+					}
+					n.open = slices.DeleteFunc(n.open, func(q *Posting) bool { return p == q })
+					n.d.Ended(p, o, h.now-n.at[p], p.Txn.Over || o == Settled)
+				}
+			}
+			n.d.Settle()
+		}
+	}
+}
+
+// worst is the most of any cold executor's budget that was sent to it in one window, by what it can do meanwhile.
+func (h *herd) worst() (part float64) {
+	for i, sends := range h.sent {
+		for from, first := range sends {
+			sum, last := 0.0, first
+			for _, c := range sends[from:] {
+				if c.at-first.at <= h.terms.Fall {
+					sum, last = sum+c.work, c
+				}
+			}
+			age := max(first.at-h.since[i], 0) // capacity at the window's start: the least in it
+			able := h.terms.ColdShare + (1-h.terms.ColdShare)*float64(age)/float64(h.terms.Cold)
+			if first.at >= h.since[i] && last.at < h.since[i]+h.terms.Cold {
+				part = max(part, sum/(h.terms.FallMultiple*able*h.slots*float64(h.terms.Fall)))
+			}
+		}
+	}
+	return part
+}
+
+// FuzzColdFleet has all nodes at their worst: much more work than the executors can take, all of which are cold, some
+// nodes started again meanwhile, and no two of one mind about how large txns and executors are. What all send
+// together stays within the budget, in any window, refused or not.
+func FuzzColdFleet(f *testing.F) {
+	for seed := range uint64(10) {
+		f.Add(seed, uint16(1+seed*seed*3/2), seed%2 == 0)
+	}
+	f.Fuzz(func(t *testing.T, seed uint64, nodes uint16, hasty bool) {
+		h := newHerd(seed, 1+int(nodes)%500, 1+int(seed%3))
+		h.hasty = hasty
+		size := int64(2e7) << (seed % 5)
+		h.pass(h.terms.Fall, size, 0)
+		h.renew(int64(seed%2) * h.terms.Cold / 3)
+		for range 5 {
+			h.pass(h.terms.Fall/2, size, min(800/float64(len(h.nodes)), 1)/4)
+			again := *h.terms
+			again.Me = h.IntN(len(h.nodes))
+			h.start(&again)
+		}
+		if worst := h.worst(); worst > 1 {
+			t.Fatalf("%.2f of a cold executor's budget was sent by %d nodes", worst, len(h.nodes))
+		} else {
+			t.Logf("%.2f by %d nodes, size %d ms", worst, len(h.nodes), size/1e6)
+		}
+	})
+}
+
+// TestManyNodesUseTheCold: of eighty nodes none has a part as large as a txn, yet a fleet that was swapped for new
+// executors is used, and no node has it for itself.
+func TestManyNodesUseTheCold(t *testing.T) {
+	h := newHerd(5, 80, 3)
+	h.pass(h.terms.Fall, 1e8, 0)
+	h.renew(h.terms.Cold / 10)
+	h.pass(h.terms.Cold/2, 3e8, 0.05)
+	work := 0.0
+	for _, sends := range h.sent {
+		for _, c := range sends {
+			work += c.work
+		}
+	}
+	// what they can do meanwhile, if they warm as late as the terms allow
+	able := 3 * h.slots * (h.terms.ColdShare + (1-h.terms.ColdShare)/4) * float64(h.terms.Cold/2)
+	if used := work / able; used < 0.3 || h.worst() > 1 {
+		t.Errorf("%.2f of cold executors is used, at most %.2f of a budget", used, h.worst())
+	} else {
+		t.Logf("%.2f used, %.2f of a budget", used, h.worst())
+	}
+}
--- a/internal/config/terms.go
+++ b/internal/config/terms.go
@@ -72,7 +72,7 @@
 	r := &reader{find: find}
 	whole := max(r.real("ScoreParts.Whole", 1), 0.01)
 	t := &dispatch.Terms{
-		Zone: int(r.whole("MyZone", 0, 0)), Nodes: int(r.whole("ReplicasOfMe", 1, 0)), Tick: r.whole("Tick", 1e6, 0),
+		Zone: int(r.whole("MyZone", 0, 0)), Nodes: int(r.whole("ReplicasOfMe", 1, 0)), Me: int(r.whole("Me", 0, 0)), Tick: r.whole("Tick", 1e6, 0),
 		ByWork: r.word("BillingValueBasis") == "work", OverValue: r.real("OverageBillingValue", 1),
 		Subscribe:  r.word("Discovery") == "subscribe",
 		Reports:    r.word("Report.Source") == "piggyback" || r.word("Report.Source") == "pull",
