A node watches the list from the version it was handed at start

Seen: on herd+vast no node was told of any change from its start to its end; 1,258 calls were answered 503 and 7 in ten postings of the last seconds went to executors that had gone (11,000 undialed). Cause: list.go asked for the whole list first, and again after each failure; 80 nodes that ask for 60 lines each 1.25 s keep discovery behind for ever. What a node is handed has a version. Ruled out: the node's own limit of 1 s on such a call cuts some off, but most were answered 503 after 2 s. Change: Follow starts from the list handed over, and asks for the whole only where there is none. Each answer, also an empty one, reaches the module, which counts failures by it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -173,7 +173,7 @@
 		return fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", r.word("seed"))
 	}
 	if known == nil {
-		n.Known = &protocol.List{Full: true}
+		n.Known = &protocol.List{}
 		return nil
 	}
 	text, err := json.Marshal(known)
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -31,7 +31,9 @@
 // Follow keeps the list up to date while the module wants that. A call that fails ends the watch; the module says
 // when to ask again.
 func (n *Node) Follow(ctx context.Context) {
-	on, whole, version := false, true, int64(0)
+	// Danger: a fleet that starts together asks for so many whole lists that none is told of anything. What this node was
+	// handed at the start is a list like any other, and changes to it cost little.
+	on, whole, version := false, !n.known.Full, n.known.Version
 	var answer chan told // of the call that is out
 	leave := func() {}
 	for {
@@ -92,10 +94,11 @@
 	case !a.list.Full && a.list.Version < had:
 		n.log.Warn().Int64("version", a.list.Version).Int64("had", had).Msg("discovery: went back")
 		return true, true, had
-	case a.list.Full || len(a.list.Entries) > 0:
+	}
+	if a.list.Full || len(a.list.Entries) > 0 {
 		n.log.Info().Int64("version", a.list.Version).Bool("whole", a.list.Full).Int("entries", len(a.list.Entries)).Msg("list")
-		n.event(func() { n.listed(a.list) })
 	}
+	n.event(func() { n.listed(a.list) })
 	return true, false, a.list.Version
 }
 
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -34,7 +34,8 @@
 type Node struct {
 	terms   *dispatch.Terms
 	carrier Carrier
-	lister  Lister      // Follow alone uses it
+	lister  Lister // Follow alone uses it
+	known   *protocol.List
 	turn    chan Lister // the latest new place to ask, at most one
 	log     zerolog.Logger
 	start   time.Time
@@ -59,7 +60,7 @@
 
 // New starts the module on the list as it was last known.
 func New(terms *dispatch.Terms, seed uint64, known *protocol.List, c Carrier, l Lister, log zerolog.Logger) *Node {
-	n := &Node{terms: terms, carrier: c, lister: l, log: log, start: time.Now(), till: math.MaxInt64, members: map[string]*member{},
+	n := &Node{terms: terms, carrier: c, lister: l, known: known, log: log, start: time.Now(), till: math.MaxInt64, members: map[string]*member{},
 		ids: [2]map[string]bool{{}, {}}, lives: map[*dispatch.Txn]*life{}, out: map[*dispatch.Posting]context.CancelFunc{}, watch: make(chan bool, 1), turn: make(chan Lister, 1)}
 	n.mu.Lock()
 	defer n.mu.Unlock()
