Calls for the list that failed are made again later and later, by chance

Seen: 48 of 80 calls at the start of herd+vast fail after 2 s; the same 48 ask again together at 3.25 s and 42 of them fail, 31 of these at 8.5 s. Cause: ListFailed waits an eighth of AskWithin, the same at all nodes. Change: half to one and a half times that by the instance's chance, doubled by a second and a third failure in a row; a list starts it over.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -101,6 +101,7 @@
 	terms            *Terms
 	door             Door
 	born, now        int64
+	failed           int // calls for the list since one succeeded
 	chance           pcg
 	fleet            []*Executor
 	queue            []*Txn
@@ -132,6 +133,7 @@
 
 // List takes the list or changes to it; whole says that absent executors are gone.
 func (d *Dispatcher) List(whole bool, members []Member) {
+	d.failed = 0
 	for i := 0; whole && i < len(d.fleet); i++ {
 		d.fleet[i].State = Gone
 	}
@@ -152,7 +154,12 @@
 }
 
 // ListFailed takes the failure of a call for the list; the next one waits, to spare a service in trouble.
-func (d *Dispatcher) ListFailed() { d.door.Alarm(d.terms.AskWithin/8, func() { d.door.Watch(true) }) }
+// Danger: nodes that failed together ask again together, and a service that falls behind serves none of them.
+func (d *Dispatcher) ListFailed() {
+	wait := float64(d.terms.AskWithin) / 8 * math.Exp2(float64(min(d.failed, 2))) // half of what news may take
+	d.failed++
+	d.door.Alarm(int64(wait*(0.5+d.chance.unit())), func() { d.door.Watch(true) })
+}
 
 func (d *Dispatcher) Arrive(t *Txn) {
 	t.arrived, t.over = d.now, len(d.terms.Tenants) > 0 && d.overShare(t)
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -191,3 +191,34 @@
 		t.Logf("%.2f used, %.2f of a budget", used, h.worst())
 	}
 }
+
+// TestFailedCallsAreSpread: nodes whose calls for the list failed together do not ask again together, and the longer that
+// goes on the seldomer; a list that comes starts it over.
+func TestFailedCallsAreSpread(t *testing.T) {
+	h := newHerd(3, 80, 1)
+	most := func(rounds int) (n int, last int64) {
+		var per [64]int
+		for _, node := range h.nodes {
+			node.alarms = nil
+			for range rounds {
+				node.d.ListFailed()
+			}
+			last = max(last, node.alarms[rounds-1].at-h.now)
+			per[(node.alarms[rounds-1].at-h.now)*16/h.terms.AskWithin]++
+		}
+		return slices.Max(per[:]), last
+	}
+	first, within := most(1)
+	if first > 60 || within > h.terms.AskWithin/4 {
+		t.Errorf("%d of 80 in a sixteenth of AskWithin, the last after %d ms", first, within/1e6)
+	}
+	if later, last := most(6); later > 25 || last > h.terms.AskWithin {
+		t.Errorf("then %d, the last after %d ms", later, last/1e6)
+	}
+	for _, node := range h.nodes {
+		node.list()
+	}
+	if _, last := most(1); last > h.terms.AskWithin/4 {
+		t.Errorf("after a list: %d ms", last/1e6)
+	}
+}
