Free slots in load reports tell how large executors are

Cause: a node takes a machine kind for as large as the most slots that it saw at work in one executor itself; of 80 nodes none sees more than one or two of four, so the cold budget is reckoned for a quarter of the machine. Change: where the settings say which value of a load report is free slots, it is decoded with the last line of an answer (and from the simulator's wire), and the most that a kind was told of or seen at is its size. Values that make no sense are passed over. Nothing else of the reports is used. Posting ends travel as one typed value.

--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -54,7 +54,7 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(c.Memory)))
 
 	descriptors := transport.NewDescriptors(c.Sockets)
-	node := routing.New(c.Terms, c.Seed, c.Known, transport.NewExecutors(descriptors, c.Dial, c.Idle),
+	node := routing.New(c.Terms, c.Seed, c.Known, transport.NewExecutors(descriptors, c.Dial, c.Idle, c.Free),
 		transport.NewDiscovery(c.Discovery, c.Names), log)
 	server := transport.NewServer(descriptors, c.Names, node.Serve, node.Ready, log)
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -580,6 +580,8 @@
 	if e.busy, d.all.busy = e.busy-t.Slots, d.all.busy-t.Slots; !p.withdrawn {
 		t.live--
 	}
+	// Danger: of many nodes none has more than one or two txns at an executor, and takes it for as small as that.
+	d.sizes[e.kind] = max(d.sizes[e.kind], p.Free)
 	p.unrun = o == Full || o == Undialed || o == Unsent
 	switch o {
 	case Settled:
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -192,6 +192,26 @@
 	}
 }
 
+// TestReportsTellSizes: a node that never has more than one txn at an executor learns from load reports how large it is,
+// and with that how much a cold one can take.
+func TestReportsTellSizes(t *testing.T) {
+	part := func(free float64) float64 {
+		w := newWorld(t, 1, basicTerms())
+		w.join(1, false)
+		w.pass(w.terms.Fall)
+		w.arrive(0, 1, 1e8, 9e9)
+		w.open[0].Free = free
+		w.settle()
+		w.fleet[0].Since = w.now
+		w.list(true)
+		part, _, _, _ := w.d.part(w.fleet[0].Executor)
+		return part
+	}
+	if untold, told := part(0), part(4); told != 4*untold {
+		t.Errorf("%v untold, %v told", untold, told)
+	}
+}
+
 // TestFailedCallsAreSpread: nodes whose calls for the list failed together do not ask again together, and the longer that
 // goes on the seldomer; a list that comes starts it over.
 func TestFailedCallsAreSpread(t *testing.T) {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -137,8 +137,9 @@
 	Txn      *Txn
 	Executor *Executor
 	Number   int
-	Limit    int64 // time-out; 0: until the client gives up
-	Open     bool  // no outcome yet
+	Limit    int64   // time-out; 0: until the client gives up
+	Open     bool    // no outcome yet
+	Free     float64 // free slots that the executor reported with the outcome; 0: none, or not told
 
 	sent, started, told int64
 	share               float64 // done, as last told
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,7 @@
 	Terms                   *dispatch.Terms
 	Dial                    time.Duration // for a connection to an executor to come up
 	Idle                    time.Duration // after which an executor closes an unused connection
+	Free                    string        // the value of load reports that tells free slots
 	Longest                 time.Duration // expiry of the scheme that has the longest
 	Log                     zerolog.Level // the least that is logged; trace tells of each posting
 
@@ -119,6 +120,7 @@
 		return nil, err
 	}
 	r := &reader{find: find}
+	n.Free = FreeSlots(find)
 	n.Dial = time.Duration(r.whole("Limits.DialTimeout", 1e9, 1))
 	n.Idle = time.Duration(r.whole("Limits.IdleClose", 10e9, 0))
 	n.Names = &protocol.Names{Zones: r.list("Dcs"), Kinds: r.list("Skus")}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -16,7 +16,7 @@
 {"id":"s-1","addr":"10.0.0.1:7","zone":"west","kind":"big","cell":3,"state":"Ready","weight":1.5,"started_ms":12}]},
 "settings":{"Dcs":["east","west"],"Skus":["small","big"],"Tick":5000000,"Odd":true,
 "Limits":{"IdleClose":60000000000,"DialTimeout":120000000,"MostPostings":3,"MayCancel":true},
-"Extra":{"ClassKind":[-1,1],"ClassStretch":[2.5,2.0]},"Tenants":[{"Name":"acme","Share":0.25}],
+"Extra":{"ReportX0":"free memory","ReportX1":"free slots","ClassKind":[-1,1],"ClassStretch":[2.5,2.0]},"Tenants":[{"Name":"acme","Share":0.25}],
 "Schemes":[{"Name":"status","SlaTime":100000000,"Expiry":5000000000,"Idempotency":"idempotent"},
 {"Name":"pay","SlaTime":200000000,"Expiry":3000000000,"Idempotency":"deduplicated","Group":"cell","MemorySpan":7}]}}`
 
@@ -28,7 +28,7 @@
 		t.Fatal(err)
 	}
 	if n.Name != "n1" || n.Seed != 0x8c1f || n.Cores != 0.5 || n.Memory != 192<<20 || n.Sockets != 1024 ||
-		n.Dial != 120*time.Millisecond || n.Idle != time.Minute || n.Longest != 5*time.Second {
+		n.Dial != 120*time.Millisecond || n.Idle != time.Minute || n.Longest != 5*time.Second || n.Free != "x1" {
 		t.Errorf("%+v", n)
 	}
 	if e := n.Known.Entries[0]; e.ID != "s-1" || e.Zone != 1 || e.Kind != 1 || e.Started != 12e6 {
--- a/internal/config/terms.go
+++ b/internal/config/terms.go
@@ -66,6 +66,16 @@
 	return nil
 }
 
+// FreeSlots names the value of load reports that tells free slots; empty if none does.
+func FreeSlots(find Find) string {
+	for _, name := range []string{"x0", "x1"} {
+		if v, _ := find("Extra.Report" + strings.ToUpper(name)); v == "free slots" || v == "free_slots" {
+			return name
+		}
+	}
+	return ""
+}
+
 // Decode reads the settings that the module uses; what it does not know is skipped, what is absent gets the value
 // that permits least.
 func Decode(find Find) (*dispatch.Terms, error) {
--- a/internal/protocol/executor.go
+++ b/internal/protocol/executor.go
@@ -13,6 +13,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"fernrail/dispatch"
 )
 
 // State is what a line of an executor tells of a job.
@@ -35,6 +37,7 @@
 	State  State
 	Share  float64 // Running: the part done
 	Result string  // Done
+	Free   float64 // free slots that the executor reports with it; 0: none, or not told
 }
 
 // Last says whether the line ends its job.
@@ -46,34 +49,39 @@
 // maxStream bounds what one job may say over its life.
 const maxStream = 4 * maxLine
 
+// mostSlots is more than any machine has; a report of more is none.
+const mostSlots = 1 << 16
+
 // Lines reads an executor's answer about the job with the given id.
 type Lines struct {
-	id string
-	in *bufio.Scanner
+	id, free string
+	in       *bufio.Scanner
 }
 
-func NewLines(id string, body io.Reader) *Lines {
+// NewLines: free names the value of a load report that tells free slots, if one does.
+func NewLines(id, free string, body io.Reader) *Lines {
 	in := bufio.NewScanner(io.LimitReader(body, maxStream))
 	in.Buffer(nil, maxLine)
-	return &Lines{id, in}
+	return &Lines{id, free, in}
 }
 
 // Next gives the next line. An answer that ends before its last line is an error, as is a line cut short.
 func (l *Lines) Next() (Line, error) {
 	for l.in.Scan() {
 		if text := bytes.TrimSpace(l.in.Bytes()); len(text) > 0 {
-			return readLine(text, l.id)
+			return readLine(text, l.id, l.free)
 		}
 	}
 	return Line{}, errors.Join(l.in.Err(), io.ErrUnexpectedEOF)
 }
 
-func readLine(text []byte, id string) (Line, error) {
+func readLine(text []byte, id, free string) (Line, error) {
 	var m struct {
-		ID     string   `json:"id"`
-		State  string   `json:"state"`
-		Share  *float64 `json:"share"`
-		Result *string  `json:"result"`
+		ID     string          `json:"id"`
+		State  string          `json:"state"`
+		Share  *float64        `json:"share"`
+		Result *string         `json:"result"`
+		Load   json.RawMessage `json:"load"`
 	}
 	if err := json.Unmarshal(text, &m); err != nil {
 		return Line{}, fmt.Errorf("unreadable line: %w", err)
@@ -91,6 +99,13 @@
 		return Line{}, errors.New("running without a share between 0 and 1")
 	}
 	l := Line{State: state}
+	// Danger: a report that this node can't read is no reason to lose the answer that it came with.
+	var load map[string]any
+	if free != "" && json.Unmarshal(m.Load, &load) == nil {
+		if slots, isNumber := load[free].(float64); isNumber && slots > 0 && slots < mostSlots {
+			l.Free = slots
+		}
+	}
 	if state == Done {
 		l.Result = *m.Result
 	}
@@ -100,6 +115,14 @@
 	return l, nil
 }
 
+// End is how a posting ended.
+type End struct {
+	Outcome dispatch.Outcome
+	Result  string  // Settled
+	Free    float64 // free slots that the executor reported with it; 0: none, or not told
+	Cause   error
+}
+
 // TurnedAway says whether an answer's head proves that the job was never run.
 func TurnedAway(r *http.Response) bool {
 	return (r.StatusCode == http.StatusServiceUnavailable || r.StatusCode == http.StatusGatewayTimeout) &&
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -101,8 +101,19 @@
 	}
 }
 
+// TestReports: free slots are read where a report tells them; one that makes no sense costs nobody an answer.
+func TestReports(t *testing.T) {
+	for load, want := range map[string]float64{`{"util":0.2,"x0":3.9}`: 3.9, `{"x0":-1}`: 0, `{"x0":1e9}`: 0, `{"x0":"4"}`: 0, `{}`: 0,
+		`null`: 0, `[4]`: 0, `"x0"`: 0, `{"x1":4}`: 0} {
+		l, err := NewLines("j", "x0", strings.NewReader(`{"id":"j","state":"done","result":"a","load":`+load+"}")).Next()
+		if err != nil || l.Result != "a" || l.Free != want {
+			t.Errorf("%s: %+v %v, want %v", load, l, err, want)
+		}
+	}
+}
+
 func TestLines(t *testing.T) {
-	l := NewLines("j", strings.NewReader(`{"id":"j","from":"s","state":"started"}`+"\n\n"+
+	l := NewLines("j", "x0", strings.NewReader(`{"id":"j","from":"s","state":"started"}`+"\n\n"+
 		`{"id":"j","state":"running","share":0.4}`+"\n"+`{"id":"j","state":"done","result":"a\nb","load":{"util":"odd"}}`+"\n"))
 	for _, want := range []Line{{State: Started}, {State: Running, Share: 0.4}, {State: Done, Result: "a\nb"}} {
 		if got, err := l.Next(); err != nil || got != want || got.Last() != (want.State == Done) {
@@ -116,15 +127,15 @@
 		`{"id":"j","state":"odd"}`, `{"id":"j","state":"done"}`, `{"id":"j","state":"done","result":7}`,
 		`{"id":"j","state":"running"}`, `{"id":"j","state":"running","share":-1}`, `[]`, `null`,
 		`{"state":"done","result":"x"}`} {
-		if got, err := NewLines("j", strings.NewReader(text)).Next(); err == nil {
+		if got, err := NewLines("j", "x0", strings.NewReader(text)).Next(); err == nil {
 			t.Errorf("%s gave %+v", text, got)
 		}
 	}
 	// Danger: an executor that never ends a line, or never stops talking, takes the node's memory.
-	if _, err := NewLines("j", endless("x")).Next(); err == nil {
+	if _, err := NewLines("j", "x0", endless("x")).Next(); err == nil {
 		t.Error("an endless line was read")
 	}
-	l = NewLines("j", endless(`{"id":"j","state":"started"}`+"\n"))
+	l = NewLines("j", "x0", endless(`{"id":"j","state":"started"}`+"\n"))
 	for n := 0; ; n++ {
 		if _, err := l.Next(); err != nil {
 			break
@@ -149,7 +160,7 @@
 	f.Add(`{"id":"j","state":"running","share":1e999}`)
 	f.Add("{\"id\":\"j\",\"state\":\"done\",\"result\":\"\xff\"}\x00")
 	f.Fuzz(func(t *testing.T, text string) {
-		l, err := NewLines("j", strings.NewReader(text)).Next()
+		l, err := NewLines("j", "x0", strings.NewReader(text)).Next()
 		if err != nil || l.State != Done {
 			return
 		}
--- a/internal/routing/life.go
+++ b/internal/routing/life.go
@@ -106,21 +106,22 @@
 	sent := n.clock()
 	defer withdraw()
 	began := int64(0) // when it told of its start
-	ended := func(o dispatch.Outcome, result string, cause error) {
-		n.log.Trace().Str("id", p.Txn.Tag).Int("number", p.Number).Str("executor", p.Executor.Tag).Stringer("outcome", o).
+	ended := func(e protocol.End) {
+		n.log.Trace().Str("id", p.Txn.Tag).Int("number", p.Number).Str("executor", p.Executor.Tag).Stringer("outcome", e.Outcome).
 			Int64("sent_us", sent/1e3).Int64("began_us", began/1e3).Int64("ended_us", n.clock()/1e3).Msg("posting")
 		n.event(func() {
 			if n.out[p] == nil {
 				return
 			}
 			delete(n.out, p)
-			if o == dispatch.Settled {
-				n.answer(p.Txn, &protocol.Answer{Status: http.StatusOK, Body: result})
+			if e.Outcome == dispatch.Settled {
+				n.answer(p.Txn, &protocol.Answer{Status: http.StatusOK, Body: e.Result})
 			}
-			n.module.Ended(p, o, n.clock()-sent, n.lives[p.Txn] == nil)
+			p.Free = e.Free
+			n.module.Ended(p, e.Outcome, n.clock()-sent, n.lives[p.Txn] == nil)
 		})
-		if cause != nil && o != dispatch.Revoked {
-			n.log.Debug().Err(cause).Str("executor", p.Executor.Tag).Stringer("outcome", o).Msg("posting ended")
+		if e.Cause != nil && e.Outcome != dispatch.Revoked {
+			n.log.Debug().Err(e.Cause).Str("executor", p.Executor.Tag).Stringer("outcome", e.Outcome).Msg("posting ended")
 		}
 	}
 	// Danger: a fault in one posting's goroutine takes the node down; it may have run by then.
@@ -136,6 +137,6 @@
 			})
 		}, ended)
 	}); err != nil {
-		ended(dispatch.Broken, "", err)
+		ended(protocol.End{Outcome: dispatch.Broken, Cause: err})
 	}
 }
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -21,8 +21,7 @@
 
 // Carrier takes postings to executors.
 type Carrier interface {
-	Do(ctx context.Context, job *protocol.Job, heard func(protocol.Line),
-		ended func(o dispatch.Outcome, result string, cause error))
+	Do(ctx context.Context, job *protocol.Job, heard func(protocol.Line), ended func(protocol.End))
 }
 
 // Lister asks discovery.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -28,13 +28,13 @@
 }
 
 func (c *carrier) Do(ctx context.Context, job *protocol.Job, heard func(protocol.Line),
-	ended func(dispatch.Outcome, string, error)) {
+	ended func(protocol.End)) {
 	c.mu.Lock()
 	c.jobs = append(c.jobs, job)
 	n := len(c.jobs)
 	c.mu.Unlock()
 	o, result := c.script(ctx, n, job, heard)
-	ended(o, result, nil)
+	ended(protocol.End{Outcome: o, Result: result})
 }
 
 func (c *carrier) sent() int {
--- a/internal/simwire/fields.go
+++ b/internal/simwire/fields.go
@@ -84,6 +84,25 @@
 	return x
 }
 
+// reported is a value of the load report, where there is one.
+func (f *fields) reported(name string) float64 {
+	report, found := f.find("ServerStats")
+	if name == "" || !found {
+		return 0
+	}
+	for pair := range strings.SplitSeq(report, ",") {
+		if key, v, _ := strings.Cut(pair, ":"); key == name {
+			x, err := strconv.ParseFloat(v, 64)
+			if err != nil || !(x >= 0 && x < 1<<16) {
+				f.fail("field ServerStats: %s: %q is not a number of slots", key, v)
+				return 0
+			}
+			return x
+		}
+	}
+	return 0
+}
+
 var outcomes = map[string]dispatch.Outcome{
 	"delivered": dispatch.Settled, "app_error": dispatch.Erred, "shed": dispatch.Full,
 	"expired": dispatch.TimedOut, "dial_failed": dispatch.Undialed, "dropped": dispatch.Broken,
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -68,6 +68,7 @@
 	session   *session
 	module    *dispatch.Dispatcher // nil: not started, killed or crashed
 	terms     *dispatch.Terms
+	free      string // the value of load reports that tells free slots
 	executors map[string]*dispatch.Executor
 	txns      map[string]*dispatch.Txn
 	alarms    map[int64]func()
@@ -196,7 +197,7 @@
 		return
 	}
 	n.executors, n.txns, n.alarms = map[string]*dispatch.Executor{}, map[string]*dispatch.Txn{}, map[int64]func(){}
-	n.terms = terms
+	n.terms, n.free = terms, config.FreeSlots(f.find)
 	n.module = dispatch.New(terms, uint64(seed), n, n.session.now)
 }
 
@@ -289,6 +290,7 @@
 func (n *node) reportBack(f *fields) {
 	p, o, took, over := n.posting(f), f.outcome(), f.wholeOr("TimeTaken", 0), f.wholeOr("Ended", 0) != 0
 	if p != nil && p.Open && f.err == nil {
+		p.Free = f.reported(n.free)
 		n.module.Ended(p, o, took, over)
 		n.tidy(p.Txn)
 	}
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -53,6 +53,7 @@
 		"no instance":     {"ROUND\tNow=5\tbatch=1\nORDER\tJob=a\n", "line 2: ORDER with no instance"},
 		"short list":      {strings.Replace(opening, "MembersList=1", "MembersList=2", 1), "line 6: COMMIT where 1 more"},
 		"unknown scheme":  {opening + strings.Replace(order, "Grade=0", "Grade=7", 1), "line 9: ORDER: no scheme 7"},
+		"odd report":      {strings.Replace(opening, "Tick", "Extra.ReportX0=free_slots\tTick", 1) + order + "ROUND\tNow=2\tbatch=3\nON\tWho=node/1\nREPORT_BACK\tJob=a\tTrial=0\tStatus=delivered\tServerStats=util:0.1,x0:many\n", "ServerStats: x0"},
 		"unknown status":  {opening + order + "ROUND\tNow=2\tbatch=3\nON\tWho=node/1\nREPORT_BACK\tJob=a\tTrial=0\tStatus=fine\n", "unknown status"},
 		"cut short":       {"ROUND\tNow=5\tbatch=1\n", "ends within a round"},
 	} {
--- a/internal/transport/executors.go
+++ b/internal/transport/executors.go
@@ -24,12 +24,14 @@
 // Executors holds the connections to executors.
 type Executors struct {
 	transport *http.Transport
+	free      string // the value of load reports that tells free slots
 }
 
-// NewExecutors: dial is how long a connection may take to come up, idle how long executors keep an unused one.
-func NewExecutors(d *Descriptors, dial, idle time.Duration) *Executors {
+// NewExecutors: dial is how long a connection may take to come up, idle how long executors keep an unused one, free the
+// value of their load reports that tells free slots.
+func NewExecutors(d *Descriptors, dial, idle time.Duration, free string) *Executors {
 	dialer := &net.Dialer{Timeout: dial, KeepAlive: -1}
-	return &Executors{&http.Transport{
+	return &Executors{free: free, transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if !d.take(executors) {
 				return nil, errShort
@@ -56,7 +58,7 @@
 // Do carries one posting to its end. It tells of starts and progress by heard, and of the end by ended, once, before
 // it looks after the connection.
 func (x *Executors) Do(ctx context.Context, job *protocol.Job, heard func(protocol.Line),
-	ended func(o dispatch.Outcome, result string, cause error)) {
+	ended func(protocol.End)) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var used *conn
@@ -75,21 +77,21 @@
 	}
 	response, err := x.transport.RoundTrip(job.Encode().WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		ended(failed(ctx, used, use > 1, err), "", err)
+		ended(protocol.End{Outcome: failed(ctx, used, use > 1, err), Cause: err})
 		return
 	}
 	defer response.Body.Close()
 	switch {
 	case protocol.TurnedAway(response):
-		ended(dispatch.Full, "", nil)
+		ended(protocol.End{Outcome: dispatch.Full})
 		finish(response.Body, cancel)
 		return
 	case response.StatusCode != http.StatusOK:
-		ended(dispatch.Erred, "", nil)
+		ended(protocol.End{Outcome: dispatch.Erred})
 		finish(response.Body, cancel)
 		return
 	}
-	lines := protocol.NewLines(job.Request.ID, response.Body)
+	lines := protocol.NewLines(job.Request.ID, x.free, response.Body)
 	for {
 		line, err := lines.Next()
 		switch {
@@ -101,19 +103,19 @@
 			if o == dispatch.Settled {
 				o = dispatch.Broken
 			}
-			ended(o, "", err)
+			ended(protocol.End{Outcome: o, Cause: err})
 			return
 		case !line.Last():
 			heard(line)
 			continue
 		case line.State == protocol.Done:
-			ended(dispatch.Settled, line.Result, nil)
+			ended(protocol.End{Outcome: dispatch.Settled, Result: line.Result, Free: line.Free})
 		case line.State == protocol.Returned:
-			ended(dispatch.Full, "", nil)
+			ended(protocol.End{Outcome: dispatch.Full})
 		case line.State == protocol.Lost:
-			ended(dispatch.Broken, "", nil)
+			ended(protocol.End{Outcome: dispatch.Broken})
 		default:
-			ended(dispatch.Erred, "", nil)
+			ended(protocol.End{Outcome: dispatch.Erred})
 		}
 		finish(response.Body, cancel)
 		return
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -107,8 +107,8 @@
 		Header: http.Header{"X-Call-Id": {"j"}, "Idempotency-Key": {"k"}}, Body: []byte("b")}}
 	ends := 0
 	x.Do(ctx, job, func(l protocol.Line) { e.heard = append(e.heard, l.State) },
-		func(o dispatch.Outcome, result string, _ error) {
-			e.outcome, e.result, ends = o, result, ends+1
+		func(end protocol.End) {
+			e.outcome, e.result, ends = end.Outcome, end.Result, ends+1
 			for _, f := range then {
 				f()
 			}
@@ -121,7 +121,7 @@
 
 func fresh() (*Descriptors, *Executors) {
 	d := NewDescriptors(1024)
-	return d, NewExecutors(d, time.Second, time.Minute)
+	return d, NewExecutors(d, time.Second, time.Minute, "x0")
 }
 
 func TestOutcomesByWhatIsProved(t *testing.T) {
@@ -192,7 +192,7 @@
 		defer c.Close()
 	}
 	d := NewDescriptors(1024)
-	x, before, start := NewExecutors(d, 50*time.Millisecond, time.Minute), d.held, time.Now()
+	x, before, start := NewExecutors(d, 50*time.Millisecond, time.Minute, "x0"), d.held, time.Now()
 	got := do(t.Context(), x, address)
 	if took := time.Since(start); got.outcome != dispatch.Undialed || took > time.Second || d.held != before {
 		t.Errorf("%+v after %s", got, took)
