The first call for news of the list comes by chance within a quarter of AskWithin

At the start 48 of 80 fail, and all 48 of their second calls: the service works through calls that nobody waits for any more. Ruled out: our own limit (4 s on a watch, none ran into it). Change: Follow makes the first call at a moment drawn within AskWithin/4 where the node has a list to go by, at once where it has none; a call that failed is made again after half to one and a half times AskWithin/4, twice that from the second on.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -153,10 +153,20 @@
 	})
 }
 
+// Follow asks for news of the list for the first time. Where there is a list to go by, that takes place by chance.
+// Danger: nodes that start together ask together; a service that answers some of them late has worked for nothing.
+func (d *Dispatcher) Follow() {
+	wait := d.terms.AskWithin / 4
+	if len(d.fleet) == 0 {
+		wait = 0
+	}
+	d.door.Alarm(int64(float64(wait)*d.chance.unit()), func() { d.door.Watch(true) })
+}
+
 // ListFailed takes the failure of a call for the list; the next one waits, to spare a service in trouble.
 // Danger: nodes that failed together ask again together, and a service that falls behind serves none of them.
 func (d *Dispatcher) ListFailed() {
-	wait := float64(d.terms.AskWithin) / 8 * math.Exp2(float64(min(d.failed, 2))) // half of what news may take
+	wait := float64(d.terms.AskWithin) / 4 * math.Exp2(float64(min(d.failed, 1))) // half of what news may take
 	d.failed++
 	d.door.Alarm(int64(wait*(0.5+d.chance.unit())), func() { d.door.Watch(true) })
 }
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -66,7 +66,7 @@
 	n.module = dispatch.New(terms, seed, n, n.clock())
 	n.listed(known)
 	if !terms.Subscribe {
-		n.Watch(true)
+		n.module.Follow()
 	}
 	return n
 }
