--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -209,9 +209,7 @@
 	}
 	own := d.tenants[t.Tenant].fade(d.now)
 	own.asked++
-	tenant := d.terms.Tenants[t.Tenant]
-	// Danger: of many nodes each sees a few txns of a small tenant, and takes chance for a flood. Its quota lies within.
-	due := max((others+1)*tenant.Share/shares, tenant.Quota*recovery/1e9/float64(max(d.terms.Nodes, 1)))
+	due := (others + 1) * d.terms.Tenants[t.Tenant].Share / shares
 	return d.chance.unit()*own.asked > overMark*due+2*math.Sqrt(due) // twice the spread of chance
 }
 
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -36,7 +36,6 @@
 // Tenant is one customer with its share of the service.
 type Tenant struct {
 	Share float64
-	Quota float64 // txns a second over all nodes that lie within its share; 0: not told
 }
 
 // Terms are the settings handed over at start, decoded once.
