--- a/cmd/fernlab/main.go
+++ b/cmd/fernlab/main.go
@@ -7,7 +7,8 @@
 
 func main() {
 	var commands struct {
-		Count count `cmd:"" help:"Count postings over a whole fleet from all its nodes' logs, by time and by executor."`
+		Count count  `cmd:"" help:"Count postings over a whole fleet from all its nodes' logs, by time and by executor."`
+		Judge judged `cmd:"" help:"Hold an event log against the four rules. Ends with 0 if they are kept, 1 if not, 2 if the log can't be read."`
 	}
 	run := kong.Parse(&commands, kong.Name("fernlab"), kong.UsageOnError())
 	run.FatalIfErrorf(run.Run())
--- /dev/null
+++ b/internal/judge/judge.go
@@ -0,0 +1,270 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package judge holds a log of events against the four rules. It knows nothing of how decisions are made and shares no
+// code with what makes them; what it is not told in an event it does not assume.
+package judge
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Kind is what an event tells of.
+type Kind string
+
+const (
+	Taken    Kind = "taken"    // a node has a txn and owes it one final answer
+	Posted   Kind = "posted"   // it was sent to an executor
+	Ended    Kind = "ended"    // what came of that sending
+	Answered Kind = "answered" // the final answer
+	Left     Kind = "left"     // the client has gone; nothing is owed any more
+	Told     Kind = "told"     // a node was told that an executor is up, drains or is gone
+	Begun    Kind = "begun"    // an executor started, cold; true of the world, told to nobody
+	Killed   Kind = "killed"   // a node died; what it had is owed no more
+)
+
+// Event is one line of a log. Times are nanoseconds, in order.
+type Event struct {
+	At       int64   `json:"at"`
+	Kind     Kind    `json:"kind"`
+	Node     string  `json:"node,omitempty"`
+	Txn      string  `json:"txn,omitempty"`
+	Scheme   string  `json:"scheme,omitempty"`   // taken
+	Expiry   int64   `json:"expiry,omitempty"`   // taken
+	Executor string  `json:"executor,omitempty"` // posted, told, begun
+	Posting  int     `json:"posting"`            // posted, ended: from 0 on in each txn
+	Work     float64 `json:"work,omitempty"`     // posted: slots times seconds that it takes
+	Result   string  `json:"result,omitempty"`   // ended: settled, full, undialed, unsent, or another; answered: settled, declined, reversed; told: up, draining, gone
+}
+
+// Scheme is what the rules say of a kind of txn.
+type Scheme struct {
+	Effect string `json:"effect"` // repeatable, referenced, once-only
+	Group  string `json:"group"`  // of a referenced one: all, zone, cell
+	Memory int64  `json:"memory"` // how long a group drops its repeats
+}
+
+// Place is where an executor stands, and how many slots it has when warm.
+type Place struct {
+	Zone  string  `json:"zone"`
+	Cell  string  `json:"cell"`
+	Slots float64 `json:"slots"`
+}
+
+// Rules are the figures that a log is held against.
+type Rules struct {
+	Slack        int64             `json:"slack"` // after the expiry in which an answer still counts
+	Grace        int64             `json:"grace"` // in which sends to a draining executor have to stop
+	Fall         int64             `json:"fall"`
+	FallMultiple float64           `json:"fall_multiple"`
+	Cold         int64             `json:"cold"`
+	ColdShare    float64           `json:"cold_share"`
+	Doubles      bool              `json:"doubles"` // two postings of one txn may be out at once
+	Schemes      map[string]Scheme `json:"schemes"`
+	Executors    map[string]Place  `json:"executors"`
+}
+
+// Breach is a broken rule and the event that proves it, by its number from 0 on.
+type Breach struct {
+	Rule, Event int
+	Text        string
+}
+
+type posting struct {
+	at       int64
+	executor string
+	open     bool
+	unrun    bool // proved
+}
+
+type txn struct {
+	node     string
+	scheme   Scheme
+	expiry   int64
+	postings []*posting
+	over     bool
+	taken    int // event
+}
+
+type send struct {
+	at   int64
+	work float64
+}
+
+// Judge reads events in order.
+type Judge struct {
+	rules    Rules
+	seen     int
+	now      int64
+	txns     map[string]*txn
+	owed     []*txn                      // without an answer, in the order of their taking
+	stops    map[string]map[string]int64 // node, executor: since when it is told to drain or gone
+	begun    map[string]int64
+	sends    map[string][]send // to cold executors, in the last window
+	breaches []Breach
+}
+
+func New(rules Rules) *Judge {
+	return &Judge{rules: rules, txns: map[string]*txn{}, stops: map[string]map[string]int64{}, begun: map[string]int64{},
+		sends: map[string][]send{}}
+}
+
+func (j *Judge) breach(rule int, format string, args ...any) {
+	j.breaches = append(j.breaches, Breach{rule, j.seen, fmt.Sprintf(format, args...)})
+}
+
+// Add takes the next event. An error says that the log makes no sense; it is no breach by whoever is judged.
+func (j *Judge) Add(e Event) error {
+	if e.At < j.now {
+		return fmt.Errorf("event %d: time goes back from %d to %d", j.seen, j.now, e.At)
+	}
+	j.now = e.At
+	j.overdue()
+	if err := j.add(e); err != nil {
+		return fmt.Errorf("event %d: %w", j.seen, err)
+	}
+	j.seen++
+	return nil
+}
+
+func (j *Judge) add(e Event) error {
+	t := j.txns[e.Txn]
+	switch e.Kind {
+	case Taken:
+		scheme, known := j.rules.Schemes[e.Scheme]
+		if t != nil || !known || e.Txn == "" || e.Node == "" {
+			return fmt.Errorf("txn %q of scheme %q taken by %q: known before, or its scheme or node is not", e.Txn, e.Scheme, e.Node)
+		}
+		t = &txn{node: e.Node, scheme: scheme, expiry: e.Expiry, taken: j.seen}
+		j.txns[e.Txn] = t
+		j.owed = append(j.owed, t)
+	case Told:
+		if j.stops[e.Node] == nil {
+			j.stops[e.Node] = map[string]int64{}
+		}
+		if _, stopped := j.stops[e.Node][e.Executor]; e.Result == "up" {
+			delete(j.stops[e.Node], e.Executor)
+		} else if !stopped {
+			j.stops[e.Node][e.Executor] = e.At
+		}
+	case Begun:
+		j.begun[e.Executor] = e.At
+		delete(j.sends, e.Executor)
+	case Killed:
+		delete(j.stops, e.Node)
+		for _, o := range j.owed {
+			if o.node == e.Node {
+				o.over = true
+			}
+		}
+	case Posted, Ended, Answered, Left:
+		if t == nil {
+			return fmt.Errorf("%s of an unknown txn %q", e.Kind, e.Txn)
+		}
+		return j.step(t, e)
+	default:
+		return fmt.Errorf("unknown kind %q", e.Kind)
+	}
+	return nil
+}
+
+func (j *Judge) step(t *txn, e Event) error {
+	switch e.Kind {
+	case Posted:
+		if e.Posting != len(t.postings) {
+			return fmt.Errorf("posting %d where %d is the next", e.Posting, len(t.postings))
+		}
+		if _, known := j.rules.Executors[e.Executor]; !known {
+			return fmt.Errorf("unknown executor %q", e.Executor)
+		}
+		j.posted(t, e)
+		t.postings = append(t.postings, &posting{at: e.At, executor: e.Executor, open: true})
+	case Ended:
+		if e.Posting < 0 || e.Posting >= len(t.postings) || !t.postings[e.Posting].open {
+			return fmt.Errorf("end of posting %d, which is not out", e.Posting)
+		}
+		p := t.postings[e.Posting]
+		p.open, p.unrun = false, e.Result == "full" || e.Result == "undialed" || e.Result == "unsent"
+	case Answered:
+		if t.over {
+			j.breach(1, "txn %s: a second final answer, %s, or one that nobody waits for", e.Txn, e.Result)
+		} else if first := t.first(); e.Result == "declined" && first != nil &&
+			(t.scheme.Effect == "once-only" || t.scheme.Effect == "referenced" && t.scheme.Group != "all") {
+			j.breach(2, "txn %s: declined though its posting to %s may have run", e.Txn, first.executor)
+		}
+		t.over = true
+	case Left:
+		t.over = true
+	}
+	return nil
+}
+
+// first is the first posting that may have run, or may yet.
+func (t *txn) first() *posting {
+	if i := slices.IndexFunc(t.postings, func(p *posting) bool { return !p.unrun }); i >= 0 {
+		return t.postings[i]
+	}
+	return nil
+}
+
+// posted holds one sending against all four rules.
+func (j *Judge) posted(t *txn, e Event) {
+	if t.over {
+		j.breach(1, "txn %s: sent to %s after its end", e.Txn, e.Executor)
+	}
+	if !j.rules.Doubles && slices.ContainsFunc(t.postings, func(p *posting) bool { return p.open }) {
+		j.breach(2, "txn %s: a second posting out at once", e.Txn)
+	}
+	if first := t.first(); first != nil {
+		was, is := j.rules.Executors[first.executor], j.rules.Executors[e.Executor]
+		switch {
+		case t.scheme.Effect == "once-only":
+			j.breach(2, "txn %s: once-only, sent again to %s though it may have run at %s", e.Txn, e.Executor, first.executor)
+		case t.scheme.Effect == "referenced" && e.At-first.at > t.scheme.Memory:
+			j.breach(2, "txn %s: sent again after its group has forgotten it", e.Txn)
+		case t.scheme.Effect == "referenced" && (t.scheme.Group == "zone" && was.Zone != is.Zone || t.scheme.Group == "cell" && was.Cell != is.Cell):
+			j.breach(2, "txn %s: sent again outside its %s", e.Txn, t.scheme.Group)
+		}
+	}
+	if since, stopped := j.stops[t.node][e.Executor]; stopped && e.At-since > j.rules.Grace {
+		j.breach(3, "txn %s: sent to %s %d ms after %s was told to stop", e.Txn, e.Executor, (e.At-since)/1e6, t.node)
+	}
+	j.cold(e)
+}
+
+// cold counts what all nodes sent to a cold executor in one window against what it can do in it.
+func (j *Judge) cold(e Event) {
+	start, cold := j.begun[e.Executor]
+	if age := e.At - start; !cold || age >= j.rules.Cold {
+		return
+	}
+	old := func(s send) bool { return e.At-s.at > j.rules.Fall }
+	sends := append(slices.DeleteFunc(j.sends[e.Executor], old), send{e.At, e.Work})
+	j.sends[e.Executor] = sends
+	sum := 0.0
+	for _, s := range sends {
+		sum += s.work
+	}
+	share := j.rules.ColdShare + (1-j.rules.ColdShare)*float64(e.At-start)/float64(j.rules.Cold)
+	if able := j.rules.FallMultiple * share * j.rules.Executors[e.Executor].Slots * float64(j.rules.Fall) / 1e9; sum > able {
+		j.breach(4, "%s, cold: %.2f s of work in a window that bears %.2f", e.Executor, sum, able)
+	}
+}
+
+// overdue tells of txns whose answer is late.
+func (j *Judge) overdue() {
+	j.owed = slices.DeleteFunc(j.owed, func(t *txn) bool {
+		if late := !t.over && j.now > t.expiry+j.rules.Slack; late {
+			j.breach(1, "the txn taken by event %d has no final answer by its expiry", t.taken)
+			t.over = true
+		}
+		return t.over
+	})
+}
+
+// End closes the log at a time and gives all breaches, in the order of the events that prove them.
+func (j *Judge) End(at int64) []Breach {
+	j.now = max(j.now, at)
+	j.overdue()
+	return j.breaches
+}
--- /dev/null
+++ b/internal/judge/judge_test.go
@@ -0,0 +1,175 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package judge
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+func rules() Rules {
+	return Rules{Slack: 10, Grace: 100, Fall: 1e9, FallMultiple: 2, Cold: 10e9, ColdShare: 0.25,
+		Schemes: map[string]Scheme{"free": {Effect: "repeatable"}, "once": {Effect: "once-only"},
+			"cell": {Effect: "referenced", Group: "cell", Memory: 500}, "zone": {Effect: "referenced", Group: "zone", Memory: 500},
+			"all": {Effect: "referenced", Group: "all", Memory: 500}},
+		Executors: map[string]Place{"a": {"z1", "c1", 4}, "b": {"z1", "c1", 4}, "c": {"z1", "c2", 4}, "d": {"z2", "c3", 4}}}
+}
+
+// parse makes events of words: time, kind and what follows. Postings are numbered by themselves.
+func parse(t *testing.T, text string) (events []Event) {
+	t.Helper()
+	for part := range strings.SplitSeq(text, ";") {
+		f := strings.Fields(part)
+		e := Event{Kind: Kind(f[1]), Node: "n1"}
+		fmt.Sscan(f[0], &e.At)
+		switch e.Kind {
+		case Taken:
+			e.Txn, e.Scheme, e.Expiry = f[2], f[3], 1000
+		case Posted:
+			e.Txn, e.Executor = f[2], f[3]
+			fmt.Sscan(f[4], &e.Posting)
+		case Ended:
+			e.Txn, e.Result = f[2], f[4]
+			fmt.Sscan(f[3], &e.Posting)
+		case Answered:
+			e.Txn, e.Result = f[2], f[3]
+		case Left:
+			e.Txn = f[2]
+		case Told:
+			e.Executor, e.Result = f[2], f[3]
+		}
+		events = append(events, e)
+	}
+	return events
+}
+
+// TestEachRuleIsCaught: what breaks a rule is named with the event that proves it, and what does not is left alone.
+// Danger: a judge that no wrong policy can fail.
+func TestEachRuleIsCaught(t *testing.T) {
+	for name, c := range map[string]struct {
+		log         string
+		rule, event int // 0: no breach
+	}{
+		"served":                      {"0 taken x once; 1 posted x a 0; 9 ended x 0 settled; 9 answered x settled", 0, 0},
+		"just in time":                {"0 taken x once; 1010 answered x declined", 0, 0},
+		"client left":                 {"0 taken x once; 5 left x; 2000 told a up", 0, 0},
+		"node killed":                 {"0 taken x once; 5 killed; 2000 told a up", 0, 0},
+		"answers twice":               {"0 taken x free; 3 answered x declined; 4 answered x declined", 1, 2},
+		"answers one who left":        {"0 taken x free; 3 left x; 4 answered x declined", 1, 2},
+		"forgets at expiry":           {"0 taken x free; 500 told a up; 1011 told a up", 1, 2},
+		"forgets to the end":          {"0 taken x free", 1, 1},
+		"sends after the answer":      {"0 taken x free; 3 answered x declined; 4 posted x a 0", 1, 2},
+		"repeats after a refusal":     {"0 taken x once; 1 posted x a 0; 2 ended x 0 full; 3 posted x b 1; 9 ended x 1 settled; 9 answered x settled", 0, 0},
+		"repeats after a break":       {"0 taken x once; 1 posted x a 0; 2 ended x 0 broken; 3 posted x b 1; 9 answered x reversed", 2, 3},
+		"repeats after a time-out":    {"0 taken x once; 1 posted x a 0; 2 ended x 0 late; 3 posted x a 1; 9 answered x reversed", 2, 3},
+		"declines what may have run":  {"0 taken x once; 1 posted x a 0; 2 ended x 0 broken; 3 answered x declined", 2, 3},
+		"declines what is out":        {"0 taken x cell; 1 posted x a 0; 3 answered x declined", 2, 2},
+		"declines what never ran":     {"0 taken x once; 1 posted x a 0; 2 ended x 0 undialed; 3 answered x declined", 0, 0},
+		"declines where all remember": {"0 taken x all; 1 posted x a 0; 2 ended x 0 broken; 3 answered x declined", 0, 0},
+		"stays in the cell":           {"0 taken x cell; 1 posted x a 0; 2 ended x 0 broken; 3 posted x b 1; 9 answered x reversed", 0, 0},
+		"leaves the cell":             {"0 taken x cell; 1 posted x a 0; 2 ended x 0 broken; 3 posted x c 1; 9 answered x reversed", 2, 3},
+		"stays in the zone":           {"0 taken x zone; 1 posted x a 0; 2 ended x 0 broken; 3 posted x c 1; 9 answered x reversed", 0, 0},
+		"leaves the zone":             {"0 taken x zone; 1 posted x a 0; 2 ended x 0 broken; 3 posted x d 1; 9 answered x reversed", 2, 3},
+		"after it is forgotten":       {"0 taken x all; 1 posted x a 0; 2 ended x 0 broken; 502 posted x b 1; 510 answered x reversed", 2, 3},
+		"two out at once":             {"0 taken x free; 1 posted x a 0; 2 posted x b 1; 9 answered x settled", 2, 2},
+		"drained within the grace":    {"0 told a draining; 1 taken x free; 100 posted x a 0; 200 answered x settled", 0, 0},
+		"drained beyond it":           {"0 told a draining; 1 taken x free; 101 posted x a 0; 200 answered x settled", 3, 2},
+		"gone, told twice":            {"0 told a draining; 90 told a gone; 91 taken x free; 101 posted x a 0; 200 answered x settled", 3, 3},
+		"drained and back":            {"0 told a draining; 90 told a up; 91 taken x free; 300 posted x a 0; 400 answered x settled", 0, 0},
+	} {
+		j := New(rules())
+		for _, e := range parse(t, c.log) {
+			if err := j.Add(e); err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+		}
+		breaches := j.End(3000)
+		if c.rule == 0 && len(breaches) > 0 || c.rule > 0 && (len(breaches) != 1 || breaches[0].Rule != c.rule || breaches[0].Event != c.event) {
+			t.Errorf("%s: %+v, want rule %d at event %d", name, breaches, c.rule, c.event)
+		}
+	}
+}
+
+// flood sends work to an executor that has just started, from many nodes, a little each.
+func flood(nodes int, each float64) []Breach {
+	j := New(rules())
+	j.Add(Event{Kind: Begun, Executor: "a"})
+	for i := range nodes {
+		at, id := int64(i)*1e6, fmt.Sprint(i)
+		j.Add(Event{At: at, Kind: Taken, Node: id, Txn: id, Scheme: "free", Expiry: 1e12})
+		j.Add(Event{At: at, Kind: Posted, Txn: id, Executor: "a", Work: each})
+		j.Add(Event{At: at, Kind: Ended, Txn: id, Result: "full"})
+		j.Add(Event{At: at, Kind: Answered, Txn: id, Result: "declined"})
+	}
+	return j.End(2e9)
+}
+
+// TestColdIsCountedOverNodes: no node sends much, and all is refused; together it is too much all the same.
+func TestColdIsCountedOverNodes(t *testing.T) {
+	// At the start a quarter of four slots, twice that for a second: 2 s of work, 2.3 at 0.2 s.
+	if b := flood(200, 0.01); len(b) > 0 {
+		t.Errorf("%+v", b[0])
+	}
+	if b := flood(200, 0.03); len(b) == 0 || b[0].Rule != 4 {
+		t.Errorf("%+v", b)
+	}
+}
+
+// TestNonsenseIsNoBreach: a log that makes no sense is an error, and nobody is accused for it.
+func TestNonsenseIsNoBreach(t *testing.T) {
+	for _, log := range []string{"5 told a up; 4 told a up", "0 posted x a 0", "0 taken x odd", "0 taken x free; 1 taken x free",
+		"0 taken x free; 1 posted x e 0", "0 taken x free; 1 posted x a 1", "0 taken x free; 1 ended x 0 full", "0 odd"} {
+		j, failed := New(rules()), false
+		for _, e := range parse(t, log) {
+			failed = failed || j.Add(e) != nil
+		}
+		if !failed || len(j.breaches) > 0 {
+			t.Errorf("%s: %v %+v", log, failed, j.breaches)
+		}
+	}
+}
+
+// FuzzLawful: random histories that keep the rules are never accused; the same with one event made unlawful are.
+func FuzzLawful(f *testing.F) {
+	for seed := range uint64(20) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed uint64) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		j, at := New(rules()), int64(0)
+		add := func(e Event) {
+			at += r.Int64N(5)
+			e.At = at
+			if err := j.Add(e); err != nil {
+				t.Fatal(err)
+			}
+		}
+		schemes, places := []string{"free", "once", "cell", "zone", "all"}, []string{"a", "b", "c", "d"}
+		var last Event
+		for i := range 200 {
+			id, scheme := fmt.Sprint(i), schemes[r.IntN(len(schemes))]
+			add(Event{Kind: Taken, Node: "n", Txn: id, Scheme: scheme, Expiry: at + 1000})
+			result := "declined"
+			for n := range r.IntN(4) {
+				add(Event{Kind: Posted, Txn: id, Executor: places[r.IntN(4)], Posting: n})
+				if r.IntN(2) == 0 {
+					add(Event{Kind: Ended, Txn: id, Posting: n, Result: "settled"})
+					result = "settled"
+					break
+				}
+				add(Event{Kind: Ended, Txn: id, Posting: n, Result: "full"})
+			}
+			last = Event{Kind: Answered, Txn: id, Result: result}
+			add(last)
+		}
+		if b := j.End(at + 5000); len(b) > 0 {
+			t.Fatalf("accused: %+v", b[0])
+		}
+		at += 5000
+		if add(last); len(j.End(at)) != 1 {
+			t.Fatal("a second answer is not seen")
+		}
+	})
+}
