All nodes take turns at the cold, with 0.55 of the budget; a judge hears the fleet tests

Seen: with the judge's events the random draws of FuzzColdFleet shifted and one history used 0.86 of a cold budget. 400 histories more, all nodes agreed on sizes: 1.12. Cause: a node whose even part was enough for a large txn, as when it knows no txn yet, spent that and then had its turn within the same window. What was left, 1.01: nodes differ in what they take a large txn for, so group counts differ. Change: turns always (few nodes are one group), so what is sent counts by quarter alone; 0.55 of the budget in place of 0.7; a node's own quarter must have begun after it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -27,7 +27,7 @@
 	overrun    = 4.0  // times the high end of measured running time that make a job overdue; beyond long jobs
 	highEnd    = 0.9  // quantile taken as high end; the histograms are too small to know more
 	missing    = 1.5  // progress periods without a note that mean standing still; one late note is no proof
-	safety     = 0.7  // part of the cold budget that is used; speeds and hints are guesses
+	safety     = 0.55 // part of the cold budget that is used; nodes differ in what they take txns for
 	hopeless   = 0.5  // part of the billing value to be expected for a txn to wait on; an even chance
 	behind     = 3.0  // jobs made late by one more job where there is no room; a short queue of them
 	throws     = 16   // blind draws before a walk over the fleet; a home zone of a few is met by then
@@ -300,20 +300,17 @@
 			sum += c.work
 		}
 	}
-	return turn && d.born <= since && sum <= part
+	return turn && d.born < since && sum <= part
 }
 
 // part is what this node may send a cold executor, since when that counts, whether it may now at all, and how
 // many nodes take turns with it.
 // Danger: an even part of many nodes is less than one txn; none would send any, and what was swapped or came back
-// stands empty until it is warm. Then a few nodes have their turn at a time, by their index among them and the
-// executor's start, which all of them know, for a fraction of the window that a fall takes.
+// stands empty until it is warm. So a few nodes have their turn at a time, by their index among them and the
+// executor's start, which all of them know, for a fraction of the window that a fall takes. Few nodes are one group.
 func (d *Dispatcher) part(e *Executor) (part float64, since int64, turn bool, of float64) {
 	all, nodes := safety*d.terms.FallMultiple*float64(d.terms.Fall)*max(d.sizes[e.kind], 1), max(d.terms.Nodes, 1)
 	least := d.works.at(highEnd, 0) * 1e9
-	if even := all * d.warmth(e, d.now) / float64(nodes); even >= least {
-		return even, d.now - d.terms.Fall, true, 1
-	}
 	length := max(d.terms.Fall/turns, 1)
 	n := max(d.now-e.since, 0) / length
 	since = e.since + n*length
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -5,6 +5,7 @@
 package judge
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 )
@@ -34,6 +35,7 @@
 	Executor string  `json:"executor,omitempty"` // posted, told, begun
 	Posting  int     `json:"posting"`            // posted, ended: from 0 on in each txn
 	Work     float64 `json:"work,omitempty"`     // posted: slots times seconds that it takes
+	Since    int64   `json:"since,omitempty"`    // begun: the moment, if it was earlier
 	Result   string  `json:"result,omitempty"`   // ended: settled, full, undialed, unsent, or another; answered: settled, declined, reversed; told: up, draining, gone
 }
 
@@ -148,7 +150,7 @@
 			j.stops[e.Node][e.Executor] = e.At
 		}
 	case Begun:
-		j.begun[e.Executor] = e.At
+		j.begun[e.Executor] = cmp.Or(e.Since, e.At)
 		delete(j.sends, e.Executor)
 	case Killed:
 		delete(j.stops, e.Node)
