--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -33,7 +33,7 @@
 	throws     = 16   // blind draws before a walk over the fleet; a home zone of a few is met by then
 	ease       = 0.75 // share of a limit on all slots out kept while prompt starts are under the rest; mild
 	overMark   = 1.3  // times the others' measure that a tenant may send; usage differs by tens of percent
-	turns      = 4    // parts of a fall's window in which nodes take turns at the cold; a fifth is lost at its ends
+	turns      = 4    // parts of a fall window in which nodes take turns at the cold; a fifth is lost at its ends
 	halveAt    = 64   // entries at which a histogram is halved; some tens of seconds of a scheme's answers
 )
 
@@ -153,7 +153,7 @@
 	})
 }
 
-// Follow asks for news of the list for the first time. Where there is a list to go by, that takes place by chance.
+// Follow asks for news of the list for the first time; where there is a list to go by, at a time by chance.
 // Danger: nodes that start together ask together; a service that answers some of them late has worked for nothing.
 func (d *Dispatcher) Follow() {
 	wait := d.terms.AskWithin / 4
