--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -33,7 +33,7 @@
 	throws     = 16   // blind draws before a walk over the fleet; a home zone of a few is met by then
 	ease       = 0.75 // share of a limit on all slots out kept while prompt starts are under the rest; mild
 	overMark   = 1.3  // times the others' measure that a tenant may send; usage differs by tens of percent
-	turns      = 4    // parts of a fall window in which nodes take turns at the cold; a fifth is lost at its ends
+	turns      = 4    // parts of a fall window in which nodes take turns at the cold; a fifth is lost
 	halveAt    = 64   // entries at which a histogram is halved; some tens of seconds of a scheme's answers
 )
 
@@ -154,7 +154,7 @@
 }
 
 // Follow asks for news of the list for the first time; where there is a list to go by, at a time by chance.
-// Danger: nodes that start together ask together; a service that answers some of them late has worked for nothing.
+// Danger: nodes that start together ask together; a service that answers some too late works for nothing.
 func (d *Dispatcher) Follow() {
 	wait := d.terms.AskWithin / 4
 	if len(d.fleet) == 0 {
@@ -305,11 +305,12 @@
 
 // part is what this node may send a cold executor, since when that counts, whether it may now at all, and how
 // many nodes take turns with it.
-// Danger: an even part of many nodes is less than one txn; none would send any, and what was swapped or came back
-// stands empty until it is warm. So a few nodes have their turn at a time, by their index among them and the
-// executor's start, which all of them know, for a fraction of the window that a fall takes. Few nodes are one group.
+// Danger: an even part of many nodes is less than one txn; none would send any, and what was swapped stands
+// empty until it is warm. So a few nodes have their turn at a time, by their index among them and by the
+// executor's start, which all know, for a fraction of a fall window. Few nodes are one group.
 func (d *Dispatcher) part(e *Executor) (part float64, since int64, turn bool, of float64) {
-	all, nodes := safety*d.terms.FallMultiple*float64(d.terms.Fall)*max(d.sizes[e.kind], 1), max(d.terms.Nodes, 1)
+	all := safety * d.terms.FallMultiple * float64(d.terms.Fall) * max(d.sizes[e.kind], 1)
+	nodes := max(d.terms.Nodes, 1)
 	least := d.works.at(highEnd, 0) * 1e9
 	length := max(d.terms.Fall/turns, 1)
 	n := max(d.now-e.since, 0) / length
@@ -587,7 +588,7 @@
 	if e.busy, d.all.busy = e.busy-t.Slots, d.all.busy-t.Slots; !p.withdrawn {
 		t.live--
 	}
-	// Danger: of many nodes none has more than one or two txns at an executor, and takes it for as small as that.
+	// Danger: of many nodes none has more than one or two txns at an executor, and takes it for that small.
 	d.sizes[e.kind] = max(d.sizes[e.kind], p.Free)
 	p.unrun = o == Full || o == Undialed || o == Unsent
 	switch o {
