A txn is hopeless by what its wait took, not by a hint that is off

Cause: earns gives up under half of the billing value by onTime, which holds running time over a rough hint against the stretch: slow-box machines and hints that are off put the middle of that ratio beyond it, so that large txns never get a chance, though their SLA time grows with their own work. Change: half of the hope that the txn had when it came, by the same reckoning. Test seen to fail without it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -714,17 +714,19 @@
 
 // earns is the billing value a slot and second to be expected of a waiting txn; 0: give it up now.
 func (d *Dispatcher) earns(t *Txn) float64 {
-	part := t.Scheme.LateValue + (1-t.Scheme.LateValue)*d.onTime(t)
-	if part < hopeless || d.now+d.running(t, 0.5) >= t.Expiry || d.now-t.arrived > 2*(t.aim-t.arrived) {
+	late := t.Scheme.LateValue
+	part, atOnce := late+(1-late)*d.onTime(t, d.now), late+(1-late)*d.onTime(t, t.arrived)
+	// Danger: hints that are off make the best of chances look slim. It is the wait that takes a txn's hope.
+	if part < hopeless*atOnce || d.now+d.running(t, 0.5) >= t.Expiry || d.now-t.arrived > 2*(t.aim-t.arrived) {
 		return 0
 	}
 	return part * t.value / t.size * d.favour(t.Scheme)
 }
 
-// onTime is the chance that a txn started now ends within its SLA time. Without a hint only a long job, whose
+// onTime is the chance that a txn started then ends within its SLA time. Without a hint only a long job, whose
 // SLA time is stretched, makes up for its wait; with one a fast executor does.
-func (d *Dispatcher) onTime(t *Txn) float64 {
-	room, runs := float64(t.arrived+t.Scheme.SlaTime-d.now), &d.runs[t.Scheme.Index]
+func (d *Dispatcher) onTime(t *Txn, at int64) float64 {
+	room, runs := float64(t.arrived+t.Scheme.SlaTime-at), &d.runs[t.Scheme.Index]
 	if t.Hint > 0 {
 		return runs.below(room/float64(t.Hint) + t.Scheme.Stretch)
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -447,3 +447,23 @@
 		}
 	}
 }
+
+// TestHintsThatAreOffDeclineNothingFresh: running times far beyond their hints make every fresh txn look late. One that
+// has not waited is tried all the same; one whose wait took half of the hope it had is given up at once.
+func TestHintsThatAreOffDeclineNothingFresh(t *testing.T) {
+	terms := basicTerms()
+	terms.Schemes[0].LateValue = 0
+	w := newWorld(t, 3, terms)
+	w.join(4, false)
+	for range 40 {
+		w.arrive(0, 1, 1e9, 9e9)
+		p := w.open[len(w.open)-1]
+		w.d.Started(p)
+		w.pass(24e8)
+		w.end(p, Settled)
+	}
+	fresh := w.arrive(0, 1, 1e9, 9e9)
+	if w.ended[fresh] != 0 || len(fresh.Postings) == 0 {
+		t.Error("a fresh txn is declined for its hint")
+	}
+}
