Equal keys draw equal luck, and the list's live weight counts in the draw

Running times with the model not met before are 60 to 100 ms longer at the executor, while the store jams. Ruled out: hung executors (as bad before they hang), list (news once a second), CPU. At fault: draw gave every txn luck of its own; Resource and Units were not decoded. Change: the draw in proportion to weights is made as the least of waits at these rates; the chance in it comes from key and executor, so that equal txns meet at all nodes alike, without a word; a key is divided into as many as its part of this node's txns needs executors. The list's live weight multiplies score x H. Walk instead of blind throws and of kept connections first where there is a key.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -34,6 +34,7 @@
 	ease       = 0.75 // share of a limit on all slots out kept while prompt starts are under the rest; mild
 	overMark   = 1.3  // times the others' measure that a tenant may send; usage differs by tens of percent
 	turns      = 4    // parts of a fall window in which nodes take turns at the cold; a fifth is lost
+	keyCounts  = 256  // txns after which counts by key are halved; enough to tell a tenth of all from a hundredth
 	halveAt    = 64   // entries at which a histogram is halved; some tens of seconds of a scheme's answers
 )
 
@@ -106,10 +107,12 @@
 	fleet            []*Executor
 	queue            []*Txn
 	recent           map[family][]last
-	runs             []spread         // by scheme: running time over hint, or in seconds where there is no hint
-	works            spread           // size of txns, in seconds
-	prompt           int64            // least time seen from sending to the note of the start; 0: none seen
-	sizes            map[int]float64  // by kind: most slots seen at work in one executor
+	runs             []spread        // by scheme: running time over hint, or in seconds where there is no hint
+	works            spread          // size of txns, in seconds
+	prompt           int64           // least time seen from sending to the note of the start; 0: none seen
+	sizes            map[int]float64 // by kind: most slots seen at work in one executor
+	keys             map[uint64]int  // txns by what they are about, of counted ones
+	counted          int
 	kinds            map[int]ledger   // by kind: scores over the top score
 	tenants, schemes []ledger         // arrivals, and billing value
 	all              Executor         // stands for the fleet: slots of all open postings, and their limit
@@ -119,7 +122,7 @@
 
 func New(terms *Terms, seed uint64, door Door, now int64) *Dispatcher {
 	d := &Dispatcher{terms: terms, door: door, born: now, now: now, chance: pcg(seed),
-		recent: map[family][]last{}, sizes: map[int]float64{}, kinds: map[int]ledger{},
+		recent: map[family][]last{}, keys: map[uint64]int{}, sizes: map[int]float64{}, kinds: map[int]ledger{},
 		all: Executor{limit: math.MaxInt32}, starts: map[bool]*ledger{true: {}, false: {}},
 		runs: make([]spread, len(terms.Schemes)), tenants: make([]ledger, len(terms.Tenants)),
 		schemes: make([]ledger, len(terms.Schemes))}
@@ -145,6 +148,10 @@
 		if !e.known {
 			d.fleet = append(d.fleet, e)
 		}
+		// Danger: of many nodes each sees next to nothing of load; the draw alone fills the small and the slow.
+		if e.left = 1; d.terms.Live {
+			e.left = max(m.Units, 0.01)
+		}
 		e.known, e.State, e.zone, e.kind, e.cell, e.since = true, m.State, m.Zone, m.Kind, m.Cell, m.Since
 	}
 	d.fleet = slices.DeleteFunc(d.fleet, func(e *Executor) bool {
@@ -188,6 +195,9 @@
 		}
 	}
 	d.schemes[t.Scheme.Index].fade(d.now).asked += t.value
+	if t.Key != 0 {
+		d.divide(t)
+	}
 	d.Expire(t, t.Expiry)
 	d.enqueue(t)
 }
@@ -349,7 +359,7 @@
 		_, _, _, groups := d.part(e) // seldom in turn, it is taken as much likelier then
 		score *= warmth * groups
 	}
-	return max(score, 0.01) * d.health(e)
+	return max(score, 0.01) * d.health(e) * e.left
 }
 
 // waits says whether the executor is passed over: it has refused one, or kept this node waiting lately.
@@ -384,22 +394,25 @@
 
 // draw picks an executor, at home first where crossing costs: an uncrowded one, then any with room.
 func (d *Dispatcher) draw(t *Txn) (pick *Executor) {
-	run, sum, sums, picks := d.running(t, 0.5), 0.0, [8]float64{}, [8]*Executor{}
+	run, sum, picks := d.running(t, 0.5), 0.0, [8]*Executor{}
 	// Danger: a zone with more traffic than its machines can carry drowns while others idle.
 	roam := d.terms.CrossPrice == 0 || d.chance.unit()*d.prompts(false) > d.prompts(true)
 	idle := func(e *Executor) bool {
 		return e.busy == 0 && (roam || e.zone == d.terms.Zone) && d.health(e) >= leastH && !d.waits(e, run)
 	}
 	// An executor that was prompt and has a connection open still is likelier to have room, without a handshake.
-	for _, e := range d.fleet {
+	for i := 0; t.Key == 0 && i < len(d.fleet); i++ {
+		e := d.fleet[i]
 		if (d.now < e.keptTill || d.warmth(e, d.now) < 1) && e.limit >= 1 && idle(e) && d.allowed(t, e) {
 			if sum += d.weight(e); d.chance.unit()*sum < d.weight(e) {
 				pick = e
 			}
 		}
 	}
-	// Danger: walking a large fleet for every txn makes a node late. With few slots out throws draw alike.
-	for i := 0; i < throws && pick == nil && throws*d.all.busy < float64(len(d.fleet)); i++ {
+	// Danger: walking a large fleet for every txn makes a node late. With few slots out throws draw alike, where no
+	// weight is over one.
+	blind := t.Key == 0 && !d.terms.Live
+	for i := 0; i < throws && pick == nil && blind && throws*d.all.busy < float64(len(d.fleet)); i++ {
 		e := d.fleet[int(d.chance.unit()*float64(len(d.fleet)))]
 		if idle(e) && d.chance.unit() < d.weight(e) && d.allowed(t, e) {
 			pick = e
@@ -409,6 +422,7 @@
 		return pick
 	}
 	sick, mean := 4, d.all.busy/float64(len(d.fleet))
+	var least [8]float64
 	for _, e := range d.fleet {
 		step := 0
 		if !d.allowed(t, e) {
@@ -425,8 +439,9 @@
 			step++
 		}
 		if (e.busy == 0 || e.busy+t.Slots <= e.limit) && !d.waits(e, run) {
-			if sums[step] += d.weight(e); d.chance.unit()*sums[step] < d.weight(e) {
-				picks[step] = e
+			// The least of waits drawn at rates of the weights is a draw in proportion to them.
+			if wait := -math.Log(d.luck(t, e)) / d.weight(e); picks[step] == nil || wait < least[step] {
+				picks[step], least[step] = e, wait
 			}
 		}
 	}
@@ -434,6 +449,33 @@
 	return cmp.Or(picks[sick], picks[sick+1], picks[sick+2], picks[sick+3])
 }
 
+// luck is what the txn draws for the executor: the same for all txns that are about one thing, at all nodes.
+// Danger: what an executor must fetch for each txn jams the store that all fetch from; equal txns meet where it is kept.
+func (d *Dispatcher) luck(t *Txn, e *Executor) float64 {
+	if t.Key == 0 {
+		return d.chance.unit() + 1e-12
+	}
+	g := pcg(t.Key ^ e.Mark)
+	g.unit()
+	return g.unit() + 1e-12
+}
+
+// divide turns a txn's key into one of as many as its part of all txns needs executors.
+// Danger: one executor can't run all that the best known thing is asked for.
+func (d *Dispatcher) divide(t *Txn) {
+	if d.counted++; d.counted > keyCounts {
+		d.counted /= 2
+		for key, n := range d.keys {
+			if d.keys[key] = n / 2; n < 2 {
+				delete(d.keys, key)
+			}
+		}
+	}
+	d.keys[t.Key]++
+	parts := 1 + math.Round(float64(d.keys[t.Key]-1)/float64(d.counted)*float64(len(d.fleet)))
+	t.Key += uint64(d.chance.unit()*parts) << 53
+}
+
 // post sends the txn and leaves behind what its outcome leads to.
 func (d *Dispatcher) post(t *Txn, e *Executor) {
 	p := &Posting{Txn: t, Executor: e, Number: len(t.Postings), Open: true, sent: d.now}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -2,7 +2,10 @@
 
 package dispatch
 
-import "testing"
+import (
+	"strconv"
+	"testing"
+)
 
 // FuzzRules drives the module through random legal histories; every action is held against the four rules.
 func FuzzRules(f *testing.F) {
@@ -467,3 +470,81 @@
 		t.Error("a fresh txn is declined for its hint")
 	}
 }
+
+// meets counts the executors that txns about one thing are sent to, of all that nodes with seeds of their own send.
+func meets(t *testing.T, key func(i int) uint64, units func(i int) float64) map[*Executor]int {
+	t.Helper()
+	terms := basicTerms()
+	terms.Live = units != nil
+	met := map[*Executor]int{}
+	var fleet []*Member
+	for i := range 20 {
+		m := &Member{Executor: &Executor{Mark: Mark("e" + strconv.Itoa(i))}, Units: 1}
+		if units != nil {
+			m.Units = units(i)
+		}
+		fleet = append(fleet, m)
+	}
+	for node := range 6 {
+		w := newWorld(t, uint64(node), terms)
+		for _, m := range fleet {
+			w.fleet = append(w.fleet, &Member{Executor: &Executor{Mark: m.Executor.Mark}, Units: m.Units})
+		}
+		w.list(true)
+		for i := range 100 {
+			tx := &Txn{Scheme: terms.Schemes[0], Slots: 1, Hint: 1e8, Expiry: w.now + 9e9, Key: key(i)}
+			w.txns = append(w.txns, tx)
+			w.d.Arrive(tx)
+			w.d.Settle()
+			for j, m := range w.fleet {
+				if len(w.open) > 0 && m.Executor == w.open[0].Executor {
+					met[fleet[j].Executor]++
+				}
+			}
+			w.settle()
+		}
+	}
+	return met
+}
+
+// TestEqualKeysMeet: txns about one thing among many meet on few executors, at all nodes alike; where all ask for one
+// thing it is spread, and without keys all executors are met.
+func TestEqualKeysMeet(t *testing.T) {
+	most := func(met map[*Executor]int) (n int) {
+		for _, count := range met {
+			n = max(n, count)
+		}
+		return n
+	}
+	rare := func(i int) uint64 { return uint64(7 + i%2*(i+100)) } // half are about one thing, the others about many
+	if one := most(meets(t, func(i int) uint64 { return []uint64{7, uint64(1000 + i)}[min(i%10, 1)] }, nil)); one < 46 {
+		t.Errorf("a tenth of all txns are about one thing, yet the executor met most has %d of 600", one)
+	}
+	if all := most(meets(t, func(int) uint64 { return 7 }, nil)); all > 150 {
+		t.Errorf("all txns are about one thing, and one executor gets %d of 600", all)
+	}
+	if met := meets(t, func(int) uint64 { return 0 }, nil); len(met) < 20 || most(met) > 90 {
+		t.Errorf("without keys %d of 20 are met, one %d times of 600", len(met), most(met))
+	}
+	if met := meets(t, rare, nil); len(met) < 15 {
+		t.Errorf("%d of 20 are met", len(met))
+	}
+}
+
+// TestLiveWeightsCount: an executor whose weight on the list has fallen with its load is drawn that much less.
+func TestLiveWeightsCount(t *testing.T) {
+	units := func(i int) float64 { return []float64{0.5, 4}[i%2] }
+	low, high := 0, 0
+	for e, n := range meets(t, func(int) uint64 { return 0 }, units) {
+		for i := range 20 {
+			if e.Mark == Mark("e"+strconv.Itoa(i)) && i%2 == 0 {
+				low += n
+			} else if e.Mark == Mark("e"+strconv.Itoa(i)) {
+				high += n
+			}
+		}
+	}
+	if high < 3*low {
+		t.Errorf("%d txns to the loaded, %d to the others", low, high)
+	}
+}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -2,6 +2,8 @@
 
 package dispatch
 
+import "hash/fnv"
+
 // Effect says what a repeat of a txn does.
 type Effect int
 
@@ -47,6 +49,7 @@
 	Tenants      []*Tenant
 	ByWork       bool // billing value counts for each unit of work
 	OverValue    float64
+	Live         bool // the list's units are size over one and the txns held a core
 	Subscribe    bool // list changes come only when asked for
 	Reports      bool // executors tell their load
 	TellsStart   bool
@@ -81,6 +84,7 @@
 	State            State
 	Zone, Kind, Cell int
 	Since            int64 // its latest start; 0: long ago
+	Units            float64
 }
 
 // Outcome is how a posting ended.
@@ -118,8 +122,9 @@
 	Scheme   *Scheme
 	Tenant   int
 	Slots    float64
-	Hint     int64 // expected work on a standard core; 0: not told
-	Expiry   int64 // clock time
+	Key      uint64 // what it is about, below 2^53; 0: not told
+	Hint     int64  // expected work on a standard core; 0: not told
+	Expiry   int64  // clock time
 	Postings []*Posting
 	Over     bool // the final answer is given, or the client has left
 
@@ -151,6 +156,7 @@
 // Executor is a worker that runs jobs.
 type Executor struct {
 	Tag   string
+	Mark  uint64 // by chance, the same at all nodes
 	State State
 
 	zone, kind, cell int
@@ -164,6 +170,8 @@
 	hAt         int64
 	keptTill    int64 // until then a connection should be open and unused
 
+	left float64 // what the list said last of its size less its load; one where that is not told
+
 	busy   float64 // slots of open postings
 	atWork float64 // of these, slots of started ones
 	limit  float64
@@ -196,3 +204,10 @@
 	scheme *Scheme
 	slots  float64
 }
+
+// Mark turns a name that all nodes know an executor by into a number by chance that all of them share.
+func Mark(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
--- a/internal/config/terms.go
+++ b/internal/config/terms.go
@@ -85,6 +85,7 @@
 		Zone: int(r.whole("MyZone", 0, 0)), Nodes: int(r.whole("ReplicasOfMe", 1, 0)), Me: int(r.whole("Me", 0, 0)), Tick: r.whole("Tick", 1e6, 0),
 		ByWork: r.word("BillingValueBasis") == "work", OverValue: r.real("OverageBillingValue", 1),
 		Subscribe:  r.word("Discovery") == "subscribe",
+		Live:       r.word("Weights") == "live",
 		Reports:    r.word("Report.Source") == "piggyback",
 		TellsStart: r.flag("Extra.TellsStart"), Progress: r.whole("Extra.Progress", 0, 0),
 		MostPostings: int(r.whole("Limits.MostPostings", 1, 0)),
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -230,11 +230,12 @@
 	tag, state := f.text("Executor"), f.text("Lifecycle")
 	e := n.executors[tag]
 	if e == nil {
-		e = &dispatch.Executor{Tag: tag}
+		e = &dispatch.Executor{Tag: tag, Mark: dispatch.Mark(tag)}
 		n.executors[tag] = e
 	}
 	m := dispatch.Member{Executor: e, Zone: int(f.wholeOr("Zone", 0)), Kind: int(f.wholeOr("ClassOfHost", 0)),
-		Cell: int(f.wholeOr("UnitGroup", 0)), Since: f.wholeOr("OnlineSince", 0)}
+		Cell: int(f.wholeOr("UnitGroup", 0)), Since: f.wholeOr("OnlineSince", 0),
+		Units: f.realOr("Units", 1)}
 	switch state {
 	case "up":
 	case "draining":
@@ -263,6 +264,7 @@
 func (n *node) order(f *fields) {
 	tag, scheme := f.text("Job"), int(f.whole("Grade"))
 	t := &dispatch.Txn{Tag: tag, Tenant: int(f.wholeOr("Tenant", 0)), Slots: f.realOr("Slots", 1),
+		Key:  uint64(f.wholeOr("Resource", 0)),
 		Hint: f.wholeOr("Predicted", 0), Expiry: f.whole("GiveUpAt")}
 	if f.err == nil && (scheme < 0 || scheme >= len(n.terms.Schemes)) {
 		f.fail("no scheme %d in the settings", scheme)
