Executors are asked for room by probes, and long jobs are not given up for a first odd run

Change: place asks up to four drawn executors and posts to the first that tells of room, slots and memory; those that told of none for 0.1 s are crowded and redrawn; a later round asks others, each time 0.1 s later. What is told free is taken with the chance that starts are prompt. If nobody has answered in four rounds the txn goes blind. Only where reports come to probes and the list's weight tells no load. Running times start from three jobs that ran as hinted; too late is what the low end of running times puts beyond expiry. Tests: FuzzRules answers probes by chance; asked for room, late answers, told to all, seen to fail without.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -26,6 +26,7 @@
 	cut        = 0.5  // share of the in-flight limit kept when a posting was seen to wait; the usual halving
 	overrun    = 4.0  // times the high end of measured running time that make a job overdue; beyond long jobs
 	highEnd    = 0.9  // quantile taken as high end; the histograms are too small to know more
+	lowEnd     = 0.25 // quantile taken as low end, by which it is too late for a txn; a fast machine's
 	missing    = 1.5  // progress periods without a note that mean standing still; one late note is no proof
 	safety     = 0.55 // part of the cold budget that is used; nodes differ in what they take txns for
 	hopeless   = 0.5  // part of the billing value to be expected for a txn to wait on; an even chance
@@ -34,6 +35,8 @@
 	ease       = 0.75 // share of a limit on all slots out kept while prompt starts are under the rest; mild
 	overMark   = 1.3  // times the others' measure that a tenant may send; usage differs by tens of percent
 	turns      = 4    // parts of a fall window in which nodes take turns at the cold; a fifth is lost
+	asks       = 4    // executors asked for room at a time; with one in two full, one in sixteen finds none
+	askAgain   = 1e8  // ns; that what was told counts, and until others are asked; a few reports a second are usual
 	keyCounts  = 256  // txns after which counts by key are halved; enough to tell a tenth of all from a hundredth
 	halveAt    = 64   // entries at which a histogram is halved; some tens of seconds of a scheme's answers
 )
@@ -113,6 +116,7 @@
 	sizes            map[int]float64 // by kind: most slots seen at work in one executor
 	keys             map[uint64]int  // txns by what they are about, of counted ones
 	counted          int
+	toldAt           int64            // when an executor last told of its room
 	kinds            map[int]ledger   // by kind: scores over the top score
 	tenants, schemes []ledger         // arrivals, and billing value
 	all              Executor         // stands for the fleet: slots of all open postings, and their limit
@@ -180,6 +184,10 @@
 
 func (d *Dispatcher) Arrive(t *Txn) {
 	t.arrived, t.over = d.now, len(d.terms.Tenants) > 0 && d.overShare(t)
+	// Danger: the first job that runs far longer than its hint would speak for all to come.
+	for r := &d.runs[t.Scheme.Index]; t.Hint > 0 && r.n < 3; {
+		r.add(1)
+	}
 	work := cmp.Or(t.Hint, d.running(t, 0.5))
 	t.aim = min(d.now+t.Scheme.SlaTime+int64(t.Scheme.Stretch*float64(work)), t.Expiry)
 	t.size = max(t.Slots, 1) * float64(work)
@@ -254,11 +262,55 @@
 	// A cut is held to for an SLA time at most, or postings that hang would stop this node.
 	if d.all.busy+t.Slots > max(d.all.limit, t.Slots) && d.now-d.all.idleAt < t.aim-t.arrived {
 		d.enqueue(t)
-	} else if e := d.draw(t); e != nil {
-		d.post(t, e)
-	} else {
+	} else if e := d.draw(t); e == nil {
 		d.enqueue(t)
+	} else if mute := t.rounds >= asks && d.toldAt < t.arrived; d.terms.Probes && !d.terms.Live && !mute {
+		d.ask(t, e)
+	} else {
+		d.post(t, e)
+	}
+}
+
+// ask looks for room at a few executors drawn; the first to tell of some gets the txn.
+// Danger: of many nodes each sees next to nothing of load, and a long job's late start can't be made good.
+func (d *Dispatcher) ask(t *Txn, e *Executor) {
+	t.asked = t.asked[:0]
+	for ; e != nil && len(t.asked) < asks; e = d.draw(t) {
+		if t.asked = append(t.asked, e); len(e.askers) == 0 {
+			d.door.Probe(e)
+		}
+		e.askers = append(e.askers, t)
+	}
+	t.rounds++
+	round := t.rounds
+	d.door.Alarm(int64(t.rounds)*askAgain, func() {
+		if !t.Over && t.live == 0 && t.rounds == round {
+			t.asked = t.asked[:0]
+			d.enqueue(t)
+		}
+	})
+}
+
+// Probed takes what an executor told of its room, if it told of any.
+// Danger: what many nodes were told they all take at once. They take it with the chance that starts are prompt.
+func (d *Dispatcher) Probed(e *Executor, told bool, free, memory float64) {
+	askers := e.askers
+	if e.askers, e.toldAt, e.free, e.memory = nil, d.now, free, memory; told {
+		d.toldAt = d.now
 	}
+	for _, t := range askers {
+		// Danger: an answer that comes late; the list may have dropped the executor, and the txn may be out or over.
+		if !t.Over && t.live == 0 && slices.Contains(t.asked, e) && !e.full(t, d.now) && d.allowed(t, e) &&
+			d.chance.unit() < d.prompts(e.zone == d.terms.Zone) {
+			t.asked, e.free, e.memory = t.asked[:0], e.free-t.Slots, e.memory-t.Memory
+			d.post(t, e)
+		}
+	}
+}
+
+// full says whether the executor told lately that the txn finds no room there.
+func (e *Executor) full(t *Txn, now int64) bool {
+	return e.toldAt > 0 && now-e.toldAt < askAgain && (e.free < t.Slots || e.memory < t.Memory)
 }
 
 // anchor is the first posting that may have run or still may.
@@ -278,7 +330,7 @@
 // allowed says whether the rules let the txn go to the executor now.
 func (d *Dispatcher) allowed(t *Txn, e *Executor) bool {
 	// Danger: a drained or gone executor that still gets work; the list's word counts at once.
-	if e.State != Up || t.Scheme.Kind >= 0 && t.Scheme.Kind != e.kind {
+	if e.State != Up || !e.known || t.Scheme.Kind >= 0 && t.Scheme.Kind != e.kind {
 		return false
 	}
 	for _, p := range t.Postings {
@@ -398,7 +450,7 @@
 	// Danger: a zone with more traffic than its machines can carry drowns while others idle.
 	roam := d.terms.CrossPrice == 0 || d.chance.unit()*d.prompts(false) > d.prompts(true)
 	idle := func(e *Executor) bool {
-		return e.busy == 0 && (roam || e.zone == d.terms.Zone) && d.health(e) >= leastH && !d.waits(e, run)
+		return e.busy == 0 && !e.full(t, d.now) && !slices.Contains(t.asked, e) && (roam || e.zone == d.terms.Zone) && d.health(e) >= leastH && !d.waits(e, run)
 	}
 	// An executor that was prompt and has a connection open still is likelier to have room, without a handshake.
 	for i := 0; t.Key == 0 && i < len(d.fleet); i++ {
@@ -425,7 +477,7 @@
 	var least [8]float64
 	for _, e := range d.fleet {
 		step := 0
-		if !d.allowed(t, e) {
+		if !d.allowed(t, e) || e.full(t, d.now) || slices.Contains(t.asked, e) {
 			continue
 		} else if d.health(e) < leastH {
 			step = 4
@@ -759,7 +811,7 @@
 	late := t.Scheme.LateValue
 	part, atOnce := late+(1-late)*d.onTime(t, d.now), late+(1-late)*d.onTime(t, t.arrived)
 	// Danger: hints that are off make the best of chances look slim. It is the wait that takes a txn's hope.
-	if part < hopeless*atOnce || d.now+d.running(t, 0.5) >= t.Expiry || d.now-t.arrived > 2*(t.aim-t.arrived) {
+	if part < hopeless*atOnce || d.now+d.running(t, lowEnd) >= t.Expiry || d.now-t.arrived > 2*(t.aim-t.arrived) {
 		return 0
 	}
 	return part * t.value / t.size * d.favour(t.Scheme)
--- a/dispatch/helpers_test.go
+++ b/dispatch/helpers_test.go
@@ -23,6 +23,7 @@
 	mayRun   map[*Posting]bool // not proved unrun
 	sentAt   map[*Posting]int64
 	withdraw int
+	probes   []*Executor // without an answer
 	fleet    []*Member
 	stopped  map[*Executor]bool // told that it drains or is gone
 	coldWork map[*Executor][]charge
@@ -157,8 +158,9 @@
 	}
 }
 
-func (w *world) Reverse(t *Txn) { w.final(t) }
-func (w *world) Watch(bool)     {}
+func (w *world) Reverse(t *Txn)    { w.final(t) }
+func (w *world) Watch(bool)        {}
+func (w *world) Probe(e *Executor) { w.probes = append(w.probes, e) }
 func (w *world) Alarm(after int64, then func()) (forget func()) {
 	a := &alarm{w.now + max(after, 1), then}
 	w.alarms = append(w.alarms, a)
@@ -234,6 +236,11 @@
 			w.ended[t] = 1
 			w.d.Left(t)
 		}
+	case n == 17 && len(w.probes) > 0:
+		i := w.IntN(len(w.probes))
+		e := w.probes[i]
+		w.probes = slices.Delete(w.probes, i, i+1)
+		w.d.Probed(e, w.IntN(3) > 0, float64(w.IntN(3)), float64(w.IntN(3)))
 	case n == 16:
 		w.d.ListFailed()
 	default:
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -51,7 +51,8 @@
 	OverValue    float64
 	Live         bool // the list's units are size over one and the txns held a core
 	Subscribe    bool // list changes come only when asked for
-	Reports      bool // executors tell their load
+	Reports      bool // executors tell their load with answers
+	Probes       bool // executors tell free slots when probed
 	TellsStart   bool
 	Progress     int64 // between progress notes; 0: none
 	MostPostings int
@@ -114,6 +115,7 @@
 	Reverse(t *Txn)
 	Alarm(after int64, then func()) (forget func())
 	Watch(on bool)
+	Probe(e *Executor)
 }
 
 // Txn is one job taken from a client, owed exactly one final answer.
@@ -122,6 +124,7 @@
 	Scheme   *Scheme
 	Tenant   int
 	Slots    float64
+	Memory   float64
 	Key      uint64 // what it is about, below 2^53; 0: not told
 	Hint     int64  // expected work on a standard core; 0: not told
 	Expiry   int64  // clock time
@@ -129,12 +132,14 @@
 	Over     bool // the final answer is given, or the client has left
 
 	arrived, aim int64
-	value        float64 // billing value when in time
-	size         float64 // slots times expected work
-	earns        float64 // billing value for each unit of size that can be expected now
-	live         int     // postings out and not withdrawn
-	queued, over bool    // over: beyond its tenant's share
-	forget       func()  // releases the alarm of its expiry
+	value        float64     // billing value when in time
+	size         float64     // slots times expected work
+	earns        float64     // billing value for each unit of size that can be expected now
+	live         int         // postings out and not withdrawn
+	asked        []*Executor // for room, without an answer that has room
+	rounds       int         // of asking
+	queued, over bool        // over: beyond its tenant's share
+	forget       func()      // releases the alarm of its expiry
 }
 
 // Posting is one sending of a txn to an executor.
@@ -170,6 +175,10 @@
 	hAt         int64
 	keptTill    int64 // until then a connection should be open and unused
 
+	askers       []*Txn // that wait for the answer to a probe
+	toldAt       int64  // of room
+	free, memory float64
+
 	left float64 // what the list said last of its size less its load; one where that is not told
 
 	busy   float64 // slots of open postings
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -120,7 +120,7 @@
 		return nil, err
 	}
 	r := &reader{find: find}
-	n.Free = FreeSlots(find)
+	n.Free = Value(find, "free slots")
 	n.Dial = time.Duration(r.whole("Limits.DialTimeout", 1e9, 1))
 	n.Idle = time.Duration(r.whole("Limits.IdleClose", 10e9, 0))
 	n.Names = &protocol.Names{Zones: r.list("Dcs"), Kinds: r.list("Skus")}
--- a/internal/config/terms.go
+++ b/internal/config/terms.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -66,10 +67,10 @@
 	return nil
 }
 
-// FreeSlots names the value of load reports that tells free slots; empty if none does.
-func FreeSlots(find Find) string {
+// Value names the value of load reports that means the given thing, such as "free slots"; empty if none does.
+func Value(find Find, meaning string) string {
 	for _, name := range []string{"x0", "x1"} {
-		if v, _ := find("Extra.Report" + strings.ToUpper(name)); v == "free slots" || v == "free_slots" {
+		if v, _ := find("Extra.Report" + strings.ToUpper(name)); strings.ReplaceAll(v, "_", " ") == meaning {
 			return name
 		}
 	}
@@ -84,9 +85,11 @@
 	t := &dispatch.Terms{
 		Zone: int(r.whole("MyZone", 0, 0)), Nodes: int(r.whole("ReplicasOfMe", 1, 0)), Me: int(r.whole("Me", 0, 0)), Tick: r.whole("Tick", 1e6, 0),
 		ByWork: r.word("BillingValueBasis") == "work", OverValue: r.real("OverageBillingValue", 1),
-		Subscribe:  r.word("Discovery") == "subscribe",
-		Live:       r.word("Weights") == "live",
-		Reports:    r.word("Report.Source") == "piggyback",
+		Subscribe: r.word("Discovery") == "subscribe",
+		Live:      r.word("Weights") == "live",
+		Reports:   r.word("Report.Source") == "piggyback",
+		Probes: r.word("Report.Source") == "pull" && r.flag("Limits.MayProbe") &&
+			slices.Contains(r.list("Report.Fields"), Value(find, "free slots")),
 		TellsStart: r.flag("Extra.TellsStart"), Progress: r.whole("Extra.Progress", 0, 0),
 		MostPostings: int(r.whole("Limits.MostPostings", 1, 0)),
 		MayCancel:    r.flag("Limits.MayCancel"), MayDuplicate: r.flag("Limits.MayDuplicate"),
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"math"
 	"runtime/debug"
 	"strconv"
 	"strings"
@@ -69,6 +70,7 @@
 	module    *dispatch.Dispatcher // nil: not started, killed or crashed
 	terms     *dispatch.Terms
 	free      string // the value of load reports that tells free slots
+	memory    string // and free memory; empty: none does
 	executors map[string]*dispatch.Executor
 	txns      map[string]*dispatch.Txn
 	alarms    map[int64]func()
@@ -182,8 +184,8 @@
 				then()
 			}
 		},
-		// The module uses no probes, streams or peers yet.
-		"PROBED":    func(n *node, f *fields) {},
+		"PROBED": (*node).probed,
+		// The module uses no streams and no peers.
 		"ACK_FIRST": func(n *node, f *fields) {},
 		"WHISPER":   func(n *node, f *fields) {},
 	}
@@ -197,7 +199,10 @@
 		return
 	}
 	n.executors, n.txns, n.alarms = map[string]*dispatch.Executor{}, map[string]*dispatch.Txn{}, map[int64]func(){}
-	n.terms, n.free = terms, config.FreeSlots(f.find)
+	n.terms, n.free, n.memory = terms, config.Value(f.find, "free slots"), ""
+	if _, counts := f.find("Extra.MemoryUnit"); counts {
+		n.memory = config.Value(f.find, "free memory")
+	}
 	n.module = dispatch.New(terms, uint64(seed), n, n.session.now)
 }
 
@@ -298,6 +303,22 @@
 	}
 }
 
+// probed hands on what an executor told of its room; none, where the probe failed or its report lacks the value.
+func (n *node) probed(f *fields) {
+	e, status, free, memory := n.executors[f.text("Executor")], f.text("Status"), f.reported(n.free), math.MaxFloat64
+	if n.memory != "" {
+		memory = f.reported(n.memory)
+	}
+	if e == nil || f.err != nil {
+		return
+	}
+	told := status == "delivered"
+	if !told {
+		free = 0
+	}
+	n.module.Probed(e, told, free, memory)
+}
+
 func (n *node) note(f *fields) {
 	p, topic, level := n.posting(f), f.whole("Topic"), f.realOr("Level", 0)
 	if p == nil || !p.Open || f.err != nil {
@@ -370,6 +391,8 @@
 	return func() { delete(n.alarms, token) }
 }
 
+func (n *node) Probe(e *dispatch.Executor) { n.say("SOUND_OUT", "Executor", e.Tag) }
+
 func (n *node) Watch(on bool) {
 	enable := "0"
 	if on {
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -36,6 +36,26 @@
 	}
 }
 
+// TestProbes: a probe goes out for a txn, and what it brings leads to a posting; reports that are odd, late or of unknown
+// executors are ignored. Danger: noise tells of a little less than nothing free, and the adapter stops.
+func TestProbes(t *testing.T) {
+	probing := strings.Replace(opening, "Tick", "Report.Source=pull\tReport.Fields=x0,x1\tExtra.ReportX0=free_slots\tExtra.ReportX1=free_memory"+
+		"\tExtra.MemoryUnit=one\tLimits.MayProbe=true\tTick", 1)
+	out, err := serve(t, probing+strings.Replace(order, "Strange=1", "Mem=0.5", 1)+"ROUND\tNow=1006000000\tbatch=3\nON\tWho=node/1\n"+
+		"PROBED\tExecutor=10.9.9.9:1\tStatus=delivered\tServerStats=x0:1,x1:1\n"+
+		"PROBED\tExecutor=10.0.0.1:80\tStatus=expired\n"+
+		"PROBED\tExecutor=10.0.0.1:80\tStatus=delivered\tServerStats=x0:2,x1:-0.0001\n"+
+		"PROBED\tExecutor=10.0.0.1:80\tStatus=delivered\nCOMMIT\n")
+	if err != nil || !strings.Contains(out, "SOUND_OUT\tExecutor=10.0.0.1:80\n") || strings.Contains(out, "TRY") {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	out, err = serve(t, probing+order+"ROUND\tNow=1006000000\tbatch=3\nON\tWho=node/1\n"+
+		"PROBED\tExecutor=10.0.0.1:80\tStatus=delivered\tServerStats=x0:2,x1:1\nCOMMIT\n")
+	if err != nil || !strings.Contains(out, "TRY\tJob=a\tExecutor=10.0.0.1:80") {
+		t.Fatalf("%v\n%s", err, out)
+	}
+}
+
 func TestKillAndRestart(t *testing.T) {
 	out, err := serve(t, opening+order+"ROUND\tNow=1006000000\tbatch=3\nON\tWho=node/1\nKILL\nCOMMIT\n"+
 		strings.Replace(opening, "Now=1000000000", "Now=1010000000", 1)+
