Where copies are not allowed a late posting is taken back, and its txn goes again

Cause: copy draws a second executor, and allowed finds none while one is out. Change: copy takes the posting back where copies are not allowed: once a quarter of its slack is gone and it has not started, if the list tells of load, or if its executor has lost its trust; once running, if it stands still. Never a once-only txn, nor past a memory span; the same executor is not drawn again for it. An overdue one that reports progress runs on. Test seen to fail without it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -334,7 +334,7 @@
 		return false
 	}
 	for _, p := range t.Postings {
-		if p.Open && (p.Executor == e || !d.terms.MayDuplicate) {
+		if p.withdrawn && p.Executor == e || p.Open && (p.Executor == e || !d.terms.MayDuplicate) {
 			return false
 		}
 	}
@@ -591,18 +591,29 @@
 	still := period > 0 && d.now-max(p.told, p.started, p.sent) > int64(missing*float64(period))
 	nearlyDone := p.share > 0 && float64(age)*(1-p.share)/p.share < float64(run)
 	if still || age > int64(overrun*float64(run)) && !nearlyDone {
-		d.blame(p)
-		d.copy(p)
+		if d.blame(p); still || d.terms.MayDuplicate {
+			d.copy(p)
+		}
 	}
 	wait = min(max(run/2, wait), cmp.Or(period, run))
 	d.door.Alarm(wait, func() { d.awaitEnd(p, 2*wait) })
 }
 
-// copy sends the txn of a late posting to a second executor that has room for it.
+// copy sends the txn of a late posting to a second executor that has room for it. Where copies are not allowed it
+// takes the posting back instead, and the txn goes again where its scheme lets it.
 func (d *Dispatcher) copy(p *Posting) {
 	// Danger: copies in a full fleet take the room of txns that wait for it, here or at many other nodes.
 	// Where executors tell nothing of their load, copies look for room while those left may well find it.
 	t, told, left := p.Txn, d.terms.Reports, d.terms.MostPostings-len(p.Txn.Postings)
+	if !d.terms.MayDuplicate {
+		// Danger: what is taken back may run all the same and fills the fleet with work for nobody. Who stands still
+		// does none of it; else only a list that tells of load promises more room elsewhere.
+		late := d.terms.Live && d.now-p.sent >= d.slack(t, p.sent)/4
+		if left > 0 && !d.spanOver(t) && (p.started > 0 || late || d.health(p.Executor) < hopeless) {
+			d.withdraw(p)
+		}
+		return
+	}
 	if len(d.queue) > 0 || left <= 0 || told && t.live > 1 {
 		return
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -625,3 +625,38 @@
 		t.Errorf("taken by %d of 100 where one start in ten is prompt", taken)
 	}
 }
+
+// TestTakenBack: where copies are not allowed, a posting that does not start is taken back once the list tells of load,
+// or its executor stands still, and only then goes elsewhere; where neither holds it stays, and a once-only txn always.
+func TestTakenBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		scheme      int
+		live, still bool
+		want        int
+	}{
+		"list tells load": {0, true, false, 2}, "stands still": {0, false, true, 2}, "waits": {0, false, false, 1},
+		"once-only": {2, true, true, 1}, "referenced": {3, true, false, 2},
+	} {
+		terms := basicTerms()
+		terms.MayDuplicate, terms.Live = false, c.live
+		w := newWorld(t, 5, terms)
+		w.join(8, false)
+		tx := w.arrive(c.scheme, 1, 1e8, 4e9)
+		p := w.open[0]
+		if c.still {
+			w.d.Started(p)
+			w.pass(35e8)
+		} else {
+			w.pass(3e8)
+		}
+		if len(tx.Postings) > 1 {
+			t.Fatalf("%s: two postings out", name)
+		}
+		if w.withdraw > 0 {
+			w.end(p, Revoked)
+		}
+		if len(tx.Postings) != c.want || c.want > 1 && tx.Postings[1].Executor == p.Executor {
+			t.Errorf("%s: %d postings, want %d", name, len(tx.Postings), c.want)
+		}
+	}
+}
