Zones count alike where crossing is cheap, and the rest leave room to who is bound to a kind

Change: home first only where the price of a crossing is 0.02 or more; in the draw a kind that some scheme is bound to counts half for schemes that are not. Tests seen to fail without it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -35,6 +35,8 @@
 	ease       = 0.75 // share of a limit on all slots out kept while prompt starts are under the rest; mild
 	overMark   = 1.3  // times the others' measure that a tenant may send; usage differs by tens of percent
 	turns      = 4    // parts of a fall window in which nodes take turns at the cold; a fifth is lost
+	dear       = 0.02 // price of a crossing from which home goes first; under it a late answer costs more
+	leave      = 0.5  // factor on executors of a kind that other schemes need, which can go nowhere else
 	asks       = 4    // executors asked for room at a time; with one in two full, one in sixteen finds none
 	askAgain   = 1e8  // ns; that what was told counts, and until others are asked; a few reports a second are usual
 	keyCounts  = 256  // txns after which counts by key are halved; enough to tell a tenth of all from a hundredth
@@ -116,6 +118,7 @@
 	sizes            map[int]float64 // by kind: most slots seen at work in one executor
 	keys             map[uint64]int  // txns by what they are about, of counted ones
 	counted          int
+	bound            map[int]bool     // kinds that some scheme can't do without
 	toldAt           int64            // when an executor last told of its room
 	kinds            map[int]ledger   // by kind: scores over the top score
 	tenants, schemes []ledger         // arrivals, and billing value
@@ -126,10 +129,13 @@
 
 func New(terms *Terms, seed uint64, door Door, now int64) *Dispatcher {
 	d := &Dispatcher{terms: terms, door: door, born: now, now: now, chance: pcg(seed),
-		recent: map[family][]last{}, keys: map[uint64]int{}, sizes: map[int]float64{}, kinds: map[int]ledger{},
+		recent: map[family][]last{}, keys: map[uint64]int{}, bound: map[int]bool{}, sizes: map[int]float64{}, kinds: map[int]ledger{},
 		all: Executor{limit: math.MaxInt32}, starts: map[bool]*ledger{true: {}, false: {}},
 		runs: make([]spread, len(terms.Schemes)), tenants: make([]ledger, len(terms.Tenants)),
 		schemes: make([]ledger, len(terms.Schemes))}
+	for _, s := range terms.Schemes {
+		d.bound[s.Kind] = true
+	}
 	if terms.Subscribe {
 		door.Watch(true)
 	}
@@ -402,7 +408,7 @@
 }
 
 // weight is the design's: mean score over the top score, times H; a cold executor counts by its age.
-func (d *Dispatcher) weight(e *Executor) float64 {
+func (d *Dispatcher) weight(t *Txn, e *Executor) float64 {
 	// Danger: one of many nodes meets most executors seldom or never; until then their kind's mean stands in.
 	s := d.kinds[e.kind]
 	score := (s.earned + unscored) / (s.asked + 1)
@@ -411,6 +417,10 @@
 		_, _, _, groups := d.part(e) // seldom in turn, it is taken as much likelier then
 		score *= warmth * groups
 	}
+	// Danger: the rest crowd out a scheme that one kind alone can run.
+	if t.Scheme.Kind < 0 && d.bound[e.kind] {
+		score *= leave
+	}
 	return max(score, 0.01) * d.health(e) * e.left
 }
 
@@ -448,7 +458,7 @@
 func (d *Dispatcher) draw(t *Txn) (pick *Executor) {
 	run, sum, picks := d.running(t, 0.5), 0.0, [8]*Executor{}
 	// Danger: a zone with more traffic than its machines can carry drowns while others idle.
-	roam := d.terms.CrossPrice == 0 || d.chance.unit()*d.prompts(false) > d.prompts(true)
+	roam := d.terms.CrossPrice < dear || d.chance.unit()*d.prompts(false) > d.prompts(true)
 	idle := func(e *Executor) bool {
 		return e.busy == 0 && !e.full(t, d.now) && !slices.Contains(t.asked, e) && (roam || e.zone == d.terms.Zone) && d.health(e) >= leastH && !d.waits(e, run)
 	}
@@ -456,7 +466,7 @@
 	for i := 0; t.Key == 0 && i < len(d.fleet); i++ {
 		e := d.fleet[i]
 		if (d.now < e.keptTill || d.warmth(e, d.now) < 1) && e.limit >= 1 && idle(e) && d.allowed(t, e) {
-			if sum += d.weight(e); d.chance.unit()*sum < d.weight(e) {
+			if sum += d.weight(t, e); d.chance.unit()*sum < d.weight(t, e) {
 				pick = e
 			}
 		}
@@ -466,7 +476,7 @@
 	blind := t.Key == 0 && !d.terms.Live
 	for i := 0; i < throws && pick == nil && blind && throws*d.all.busy < float64(len(d.fleet)); i++ {
 		e := d.fleet[int(d.chance.unit()*float64(len(d.fleet)))]
-		if idle(e) && d.chance.unit() < d.weight(e) && d.allowed(t, e) {
+		if idle(e) && d.chance.unit() < d.weight(t, e) && d.allowed(t, e) {
 			pick = e
 		}
 	}
@@ -492,7 +502,7 @@
 		}
 		if (e.busy == 0 || e.busy+t.Slots <= e.limit) && !d.waits(e, run) {
 			// The least of waits drawn at rates of the weights is a draw in proportion to them.
-			if wait := -math.Log(d.luck(t, e)) / d.weight(e); picks[step] == nil || wait < least[step] {
+			if wait := -math.Log(d.luck(t, e)) / d.weight(t, e); picks[step] == nil || wait < least[step] {
 				picks[step], least[step] = e, wait
 			}
 		}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -660,3 +660,47 @@
 		}
 	}
 }
+
+// TestLeavesRoomForTheBound: where one kind of machine runs a scheme alone, schemes that run anywhere leave it room.
+func TestLeavesRoomForTheBound(t *testing.T) {
+	needed := func(schemes []*Scheme) (n int) {
+		terms := basicTerms()
+		terms.Schemes = schemes
+		w := newWorld(t, 8, terms)
+		w.join(12, false)
+		for range 600 {
+			w.arrive(0, 1, 1e8, 9e9)
+			if w.open[0].Executor.kind == 1 {
+				n++
+			}
+			w.settle()
+		}
+		return n
+	}
+	all := basicTerms().Schemes
+	bound, free := needed(all), needed(all[:3])
+	if bound > free*3/4 {
+		t.Errorf("%d of 600 go to the kind that another scheme needs, %d where none does", bound, free)
+	}
+}
+
+// TestCheapCrossing: zones count alike where crossing costs less than a late answer; home goes first where it is dear.
+func TestCheapCrossing(t *testing.T) {
+	away := func(price float64) (n int) {
+		terms := basicTerms()
+		terms.CrossPrice = price
+		w := newWorld(t, 8, terms)
+		w.join(8, false)
+		for range 200 {
+			w.arrive(0, 1, 1e8, 9e9)
+			if w.open[0].Executor.zone != 0 {
+				n++
+			}
+			w.settle()
+		}
+		return n
+	}
+	if cheap, costly := away(0.01), away(0.1); cheap < 60 || costly > 10 {
+		t.Errorf("%d of 200 cross where it is cheap, %d where it is dear", cheap, costly)
+	}
+}
