Txns about one thing are drawn among its few homes

Checks: running times of models not met before grow from 0.3 to 1.5 s, starts stay prompt: not slots but the store is jammed. Each late start, taken back posting and moved weight sends a txn where its model is not, which fetches, which makes more late: it feeds itself. Ruled out: deaths (the fall comes 12 s before the crash), limits. Change: luck by key and weights that move are parted. A thing's homes are the first in an order by chance from key and executor and by size, two and as many as its part of this node's txns needs, sick ones left out; score x H x live weight draw among these as everywhere. A txn whose homes have no room waits or is declined. TestEqualKeysMeet covers it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -37,6 +37,7 @@
 	turns      = 4    // parts of a fall window in which nodes take turns at the cold; a fifth is lost
 	dear       = 0.02 // price of a crossing from which home goes first; under it a late answer costs more
 	leave      = 0.5  // factor on executors of a kind that other schemes need, which can go nowhere else
+	leastHomes = 2    // executors that txns about one thing are drawn among; the second for when the first is full
 	asks       = 4    // executors asked for room at a time; with one in two full, one in sixteen finds none
 	askAgain   = 1e8  // ns; that what was told counts, and until others are asked; a few reports a second are usual
 	keyCounts  = 256  // txns after which counts by key are halved; enough to tell a tenth of all from a hundredth
@@ -116,6 +117,7 @@
 	works            spread          // size of txns, in seconds
 	prompt           int64           // least time seen from sending to the note of the start; 0: none seen
 	sizes            map[int]float64 // by kind: most slots seen at work in one executor
+	order            []place         // of executors, for one thing
 	keys             map[uint64]int  // txns by what they are about, of counted ones
 	counted          int
 	bound            map[int]bool     // kinds that some scheme can't do without
@@ -153,7 +155,7 @@
 	for _, m := range members {
 		e := m.Executor
 		if !e.known || m.Since > e.since {
-			e.h, e.hAt, e.limit = 1, d.now, firstRoom
+			e.h, e.hAt, e.limit, e.size = 1, d.now, firstRoom, 1
 		}
 		if !e.known {
 			d.fleet = append(d.fleet, e)
@@ -161,6 +163,7 @@
 		// Danger: of many nodes each sees next to nothing of load; the draw alone fills the small and the slow.
 		if e.left = 1; d.terms.Live {
 			e.left = max(m.Units, 0.01)
+			e.size = max(e.size, e.left)
 		}
 		e.known, e.State, e.zone, e.kind, e.cell, e.since = true, m.State, m.Zone, m.Kind, m.Cell, m.Since
 	}
@@ -210,7 +213,7 @@
 	}
 	d.schemes[t.Scheme.Index].fade(d.now).asked += t.value
 	if t.Key != 0 {
-		d.divide(t)
+		d.count(t)
 	}
 	d.Expire(t, t.Expiry)
 	d.enqueue(t)
@@ -456,9 +459,12 @@
 
 // draw picks an executor, at home first where crossing costs: an uncrowded one, then any with room.
 func (d *Dispatcher) draw(t *Txn) (pick *Executor) {
-	run, sum, picks := d.running(t, 0.5), 0.0, [8]*Executor{}
+	run, sum, sums, picks, fleet := d.running(t, 0.5), 0.0, [8]float64{}, [8]*Executor{}, d.fleet
 	// Danger: a zone with more traffic than its machines can carry drowns while others idle.
 	roam := d.terms.CrossPrice < dear || d.chance.unit()*d.prompts(false) > d.prompts(true)
+	if t.Key != 0 {
+		fleet = d.homes(t, roam)
+	}
 	idle := func(e *Executor) bool {
 		return e.busy == 0 && !e.full(t, d.now) && !slices.Contains(t.asked, e) && (roam || e.zone == d.terms.Zone) && d.health(e) >= leastH && !d.waits(e, run)
 	}
@@ -484,8 +490,7 @@
 		return pick
 	}
 	sick, mean := 4, d.all.busy/float64(len(d.fleet))
-	var least [8]float64
-	for _, e := range d.fleet {
+	for _, e := range fleet {
 		step := 0
 		if !d.allowed(t, e) || e.full(t, d.now) || slices.Contains(t.asked, e) {
 			continue
@@ -501,9 +506,8 @@
 			step++
 		}
 		if (e.busy == 0 || e.busy+t.Slots <= e.limit) && !d.waits(e, run) {
-			// The least of waits drawn at rates of the weights is a draw in proportion to them.
-			if wait := -math.Log(d.luck(t, e)) / d.weight(t, e); picks[step] == nil || wait < least[step] {
-				picks[step], least[step] = e, wait
+			if sums[step] += d.weight(t, e); d.chance.unit()*sums[step] < d.weight(t, e) {
+				picks[step] = e
 			}
 		}
 	}
@@ -511,20 +515,40 @@
 	return cmp.Or(picks[sick], picks[sick+1], picks[sick+2], picks[sick+3])
 }
 
-// luck is what the txn draws for the executor: the same for all txns that are about one thing, at all nodes.
-// Danger: what an executor must fetch for each txn jams the store that all fetch from; equal txns meet where it is kept.
-func (d *Dispatcher) luck(t *Txn, e *Executor) float64 {
-	if t.Key == 0 {
-		return d.chance.unit() + 1e-12
+// homes are the few executors that txns about one thing are drawn among: the first in an order by chance that all nodes
+// share, by size, and as many as its part of all txns needs.
+// Danger: what an executor must fetch for each txn jams the store that all fetch from, and the jam feeds itself.
+func (d *Dispatcher) homes(t *Txn, roam bool) []*Executor {
+	count := leastHomes + int(math.Round(float64(d.keys[t.Key]-1)/float64(d.counted)*float64(len(d.fleet))))
+	d.order = d.order[:0]
+	for _, e := range d.fleet {
+		if !d.allowed(t, e) || d.health(e) < leastH {
+			continue
+		}
+		g := pcg(t.Key ^ e.Mark)
+		g.unit()
+		wait := -math.Log(g.unit()+1e-12) / e.size
+		if t.Scheme.Kind < 0 && d.bound[e.kind] {
+			wait /= leave
+		}
+		if !roam && e.zone != d.terms.Zone {
+			wait += 1e3 // after all at home
+		}
+		d.order = append(d.order, place{e, wait})
+	}
+	slices.SortFunc(d.order, func(a, b place) int { return cmp.Compare(a.wait, b.wait) })
+	var among []*Executor
+	for _, p := range d.order[:min(count, len(d.order))] {
+		among = append(among, p.executor)
+	}
+	if among == nil {
+		return d.fleet
 	}
-	g := pcg(t.Key ^ e.Mark)
-	g.unit()
-	return g.unit() + 1e-12
+	return among
 }
 
-// divide turns a txn's key into one of as many as its part of all txns needs executors.
-// Danger: one executor can't run all that the best known thing is asked for.
-func (d *Dispatcher) divide(t *Txn) {
+// count adds a txn to those about one thing.
+func (d *Dispatcher) count(t *Txn) {
 	if d.counted++; d.counted > keyCounts {
 		d.counted /= 2
 		for key, n := range d.keys {
@@ -534,8 +558,6 @@
 		}
 	}
 	d.keys[t.Key]++
-	parts := 1 + math.Round(float64(d.keys[t.Key]-1)/float64(d.counted)*float64(len(d.fleet)))
-	t.Key += uint64(d.chance.unit()*parts) << 53
 }
 
 // post sends the txn and leaves behind what its outcome leads to.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -105,7 +105,9 @@
 }
 
 func TestDrawFollowsWeight(t *testing.T) {
-	w := newWorld(t, 1, basicTerms())
+	terms := basicTerms()
+	terms.Schemes = terms.Schemes[:1] // no other is bound to one of the two kinds
+	w := newWorld(t, 1, terms)
 	w.join(2, false)
 	good, bad := w.fleet[0].Executor, w.fleet[1].Executor
 	good.pooled, good.sum, bad.pooled, bad.sum = 50, 475, 50, 125
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -179,6 +179,7 @@
 	toldAt       int64  // of room
 	free, memory float64
 
+	size float64 // the most that the list told of it
 	left float64 // what the list said last of its size less its load; one where that is not told
 
 	busy   float64 // slots of open postings
@@ -220,3 +221,9 @@
 	h.Write([]byte(name))
 	return h.Sum64()
 }
+
+// place is an executor in an order.
+type place struct {
+	executor *Executor
+	wait     float64
+}
