Room that was taken counts until reports show it, and contested room is told to the other nodes

Cause: reports are up to 0.45 s old; all nodes that wait see the same slot. Change: a posting after a probe counts at its executor for 0.4 s against what reports say; a txn that found no room in its first round tells all other nodes in five bytes (executor, slots), and they count it alike. Unknown executors and odd bytes are ignored, nothing is sent anywhere for a word, it fades like a report. Tests seen to fail without it; FuzzRules hears odd messages.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
 	"slices"
 )
@@ -37,6 +38,7 @@
 	turns      = 4    // parts of a fall window in which nodes take turns at the cold; a fifth is lost
 	dear       = 0.02 // price of a crossing from which home goes first; under it a late answer costs more
 	leave      = 0.5  // factor on executors of a kind that other schemes need, which can go nowhere else
+	reportAge  = 4e8  // ns; for which what was taken is not in reports yet; a few reports a second are usual
 	leastHomes = 2    // executors that txns about one thing are drawn among; the second for when the first is full
 	asks       = 4    // executors asked for room at a time; with one in two full, one in sixteen finds none
 	askAgain   = 1e8  // ns; that what was told counts, and until others are asked; a few reports a second are usual
@@ -307,12 +309,36 @@
 	if e.askers, e.toldAt, e.free, e.memory = nil, d.now, free, memory; told {
 		d.toldAt = d.now
 	}
+	e.claims = slices.DeleteFunc(e.claims, func(c charge) bool { return d.now-c.at > reportAge })
+	for _, c := range e.claims {
+		e.free -= c.work
+	}
 	for _, t := range askers {
 		// Danger: an answer that comes late; the list may have dropped the executor, and the txn may be out or over.
 		if !t.Over && t.live == 0 && slices.Contains(t.asked, e) && !e.full(t, d.now) && d.allowed(t, e) &&
 			d.chance.unit() < d.prompts(e.zone == d.terms.Zone) {
-			t.asked, e.free, e.memory = t.asked[:0], e.free-t.Slots, e.memory-t.Memory
+			t.asked, e.memory = t.asked[:0], e.memory-t.Memory
 			d.post(t, e)
+			d.claim(e, t.Slots)
+			if d.terms.MayTell && t.rounds > 1 {
+				d.door.Tell(binary.BigEndian.AppendUint32([]byte{byte(t.Slots)}, uint32(e.Mark)))
+			}
+		}
+	}
+}
+
+// claim notes slots that a report does not count yet.
+func (d *Dispatcher) claim(e *Executor, slots float64) {
+	e.claims = append(e.claims, charge{d.now, slots})
+	e.free -= slots
+}
+
+// Heard takes what another node tells: that it has taken room at an executor. Only known executors count, and it fades
+// like a report, so that what is lost, late or odd does little harm.
+func (d *Dispatcher) Heard(message []byte) {
+	for _, e := range d.fleet {
+		if len(message) == 5 && uint32(e.Mark) == binary.BigEndian.Uint32(message[1:]) {
+			d.claim(e, float64(message[0]))
 		}
 	}
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -18,7 +18,7 @@
 		w.terms.MayCancel = terms&2 == 0
 		w.terms.TellsStart = terms&4 == 0
 		w.terms.Nodes, w.terms.Reports = 1+int(seed%3)*200, terms&16 != 0
-		w.terms.Probes, w.terms.Live = terms&32 != 0, terms&64 != 0
+		w.terms.Probes, w.terms.Live, w.terms.MayTell = terms&32 != 0, terms&64 != 0, terms&32 != 0
 		if terms&8 != 0 {
 			w.terms.CrossPrice, w.terms.Progress = 0.1, 0
 		}
@@ -706,3 +706,46 @@
 		t.Errorf("%d of 200 cross where it is cheap, %d where it is dear", cheap, costly)
 	}
 }
+
+// TestTakenRoomIsTold: reports are late, and what this node or another took since is not in them. A txn that found no
+// room at first tells the others what it took; odd bytes, unknown executors and words long past change nothing.
+func TestTakenRoomIsTold(t *testing.T) {
+	terms := basicTerms()
+	terms.Probes, terms.MayTell = true, true
+	start := func() (*world, *Executor) {
+		w := newWorld(t, 9, terms)
+		w.join(1, false)
+		w.fleet[0].Executor.Mark = Mark("e")
+		return w, w.fleet[0].Executor
+	}
+	w, e := start()
+	first := w.arrive(0, 1, 1e8, 9e9)
+	w.d.Probed(e, true, 1, 9)
+	if len(first.Postings) != 1 || len(w.told) > 0 {
+		t.Fatalf("%d postings, %d told of a txn that found room at once", len(first.Postings), len(w.told))
+	}
+	w.settle()
+	second := w.arrive(0, 1, 1e9, 9e9)
+	w.d.Probed(e, true, 1, 9)
+	if len(second.Postings) > 0 {
+		t.Fatal("the slot that this node has just taken is taken again")
+	}
+	w.pass(reportAge + 2*askAgain)
+	w.d.Probed(e, true, 1, 9)
+	if len(second.Postings) != 1 || len(w.told) != 1 {
+		t.Fatalf("%d postings, %d told", len(second.Postings), len(w.told))
+	}
+	other, e := start()
+	for _, odd := range [][]byte{nil, {}, {9}, make([]byte, 5), make([]byte, 300)} {
+		other.d.Heard(odd)
+	}
+	other.d.Heard(w.told[0])
+	held := other.arrive(0, 1, 1e9, 9e9)
+	if other.d.Probed(e, true, 1, 9); len(held.Postings) > 0 {
+		t.Error("a slot that another node told it has taken is taken again")
+	}
+	other.pass(reportAge + 2*askAgain)
+	if other.d.Probed(e, true, 1, 9); len(held.Postings) != 1 {
+		t.Error("what was told once counts for ever")
+	}
+}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -52,6 +52,7 @@
 	Live         bool // the list's units are size over one and the txns held a core
 	Subscribe    bool // list changes come only when asked for
 	Reports      bool // executors tell their load with answers
+	MayTell      bool // nodes may send one another messages
 	Probes       bool // executors tell free slots when probed
 	TellsStart   bool
 	Progress     int64 // between progress notes; 0: none
@@ -116,6 +117,7 @@
 	Alarm(after int64, then func()) (forget func())
 	Watch(on bool)
 	Probe(e *Executor)
+	Tell(message []byte) // all other nodes
 }
 
 // Txn is one job taken from a client, owed exactly one final answer.
@@ -175,8 +177,9 @@
 	hAt         int64
 	keptTill    int64 // until then a connection should be open and unused
 
-	askers       []*Txn // that wait for the answer to a probe
-	toldAt       int64  // of room
+	askers       []*Txn   // that wait for the answer to a probe
+	toldAt       int64    // of room
+	claims       []charge // slots taken since, by this node or others
 	free, memory float64
 
 	size float64 // the most that the list told of it
--- a/internal/config/terms.go
+++ b/internal/config/terms.go
@@ -88,6 +88,7 @@
 		Subscribe: r.word("Discovery") == "subscribe",
 		Live:      r.word("Weights") == "live",
 		Reports:   r.word("Report.Source") == "piggyback",
+		MayTell:   r.flag("Limits.MayTell"),
 		Probes: r.word("Report.Source") == "pull" && r.flag("Limits.MayProbe") &&
 			slices.Contains(r.list("Report.Fields"), Value(find, "free slots")),
 		TellsStart: r.flag("Extra.TellsStart"), Progress: r.whole("Extra.Progress", 0, 0),
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -118,6 +118,8 @@
 	n.watch <- on
 }
 
+func (n *Node) Tell([]byte) {}
+
 func (n *Node) Probe(e *dispatch.Executor) {}
 
 func (n *Node) Post(p *dispatch.Posting) {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"cmp"
+	"encoding/base64"
 	"fmt"
 	"io"
 	"math"
@@ -185,9 +186,13 @@
 			}
 		},
 		"PROBED": (*node).probed,
-		// The module uses no streams and no peers.
+		"WHISPER": func(n *node, f *fields) {
+			if message, err := base64.StdEncoding.DecodeString(f.text("Content")); err == nil && f.err == nil {
+				n.module.Heard(message)
+			}
+		},
+		// The module uses no streams.
 		"ACK_FIRST": func(n *node, f *fields) {},
-		"WHISPER":   func(n *node, f *fields) {},
 	}
 }
 
@@ -393,6 +398,10 @@
 
 func (n *node) Probe(e *dispatch.Executor) { n.say("SOUND_OUT", "Executor", e.Tag) }
 
+func (n *node) Tell(message []byte) {
+	n.say("SHARE", "Recipient", "*", "Content", base64.StdEncoding.EncodeToString(message))
+}
+
 func (n *node) Watch(on bool) {
 	enable := "0"
 	if on {
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -45,6 +45,7 @@
 		"PROBED\tExecutor=10.9.9.9:1\tStatus=delivered\tServerStats=x0:1,x1:1\n"+
 		"PROBED\tExecutor=10.0.0.1:80\tStatus=expired\n"+
 		"PROBED\tExecutor=10.0.0.1:80\tStatus=delivered\tServerStats=x0:2,x1:-0.0001\n"+
+		"WHISPER\tAuthor=3\tContent=-\nWHISPER\tAuthor=3\tContent=AQ==\nWHISPER\tAuthor=3\tContent=AQIDBAU=\n"+
 		"PROBED\tExecutor=10.0.0.1:80\tStatus=delivered\nCOMMIT\n")
 	if err != nil || !strings.Contains(out, "SOUND_OUT\tExecutor=10.0.0.1:80\n") || strings.Contains(out, "TRY") {
 		t.Fatalf("%v\n%s", err, out)
