--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -32,8 +32,6 @@
 	safety     = 0.55 // part of the cold budget that is used; nodes differ in what they take txns for
 	hopeless   = 0.5  // part of the billing value to be expected for a txn to wait on; an even chance
 	behind     = 3.0  // jobs made late by one more job where there is no room; a short queue of them
-	throws     = 16   // blind draws before a walk over the fleet; a home zone of a few is met by then
-	ease       = 0.75 // share of a limit on all slots out kept while prompt starts are under the rest; mild
 	overMark   = 1.3  // times the others' measure that a tenant may send; usage differs by tens of percent
 	turns      = 4    // parts of a fall window in which nodes take turns at the cold; a fifth is lost
 	dear       = 0.02 // price of a crossing from which home goes first; under it a late answer costs more
@@ -126,7 +124,7 @@
 	toldAt           int64            // when an executor last told of its room
 	kinds            map[int]ledger   // by kind: scores over the top score
 	tenants, schemes []ledger         // arrivals, and billing value
-	all              Executor         // stands for the fleet: slots of all open postings, and their limit
+	busy             float64          // slots of all open postings
 	pumped           bool             // an alarm to look at the queue is out
 	starts           map[bool]*ledger // by whether at home: postings whose start was due; the prompt ones
 }
@@ -134,8 +132,8 @@
 func New(terms *Terms, seed uint64, door Door, now int64) *Dispatcher {
 	d := &Dispatcher{terms: terms, door: door, born: now, now: now, chance: pcg(seed),
 		recent: map[family][]last{}, keys: map[uint64]int{}, bound: map[int]bool{}, sizes: map[int]float64{}, kinds: map[int]ledger{},
-		all: Executor{limit: math.MaxInt32}, starts: map[bool]*ledger{true: {}, false: {}},
-		runs: make([]spread, len(terms.Schemes)), tenants: make([]ledger, len(terms.Tenants)),
+		starts: map[bool]*ledger{true: {}, false: {}},
+		runs:   make([]spread, len(terms.Schemes)), tenants: make([]ledger, len(terms.Tenants)),
 		schemes: make([]ledger, len(terms.Schemes))}
 	for _, s := range terms.Schemes {
 		d.bound[s.Kind] = true
@@ -270,10 +268,7 @@
 		d.finish(t)
 		return
 	}
-	// A cut is held to for an SLA time at most, or postings that hang would stop this node.
-	if d.all.busy+t.Slots > max(d.all.limit, t.Slots) && d.now-d.all.idleAt < t.aim-t.arrived {
-		d.enqueue(t)
-	} else if e := d.draw(t); e == nil {
+	if e := d.draw(t); e == nil {
 		d.enqueue(t)
 	} else if mute := t.rounds >= asks && d.toldAt < t.arrived; d.terms.Probes && !d.terms.Live && !mute {
 		d.ask(t, e)
@@ -483,62 +478,37 @@
 	return (l.earned + 1) / (l.asked + 1)
 }
 
-// draw picks an executor, at home first where crossing costs: an uncrowded one, then any with room.
-func (d *Dispatcher) draw(t *Txn) (pick *Executor) {
-	run, sum, sums, picks, fleet := d.running(t, 0.5), 0.0, [8]float64{}, [8]*Executor{}, d.fleet
+// draw picks an executor, at home first where crossing costs: an idle one known to be prompt, then an uncrowded one, then
+// any with room.
+func (d *Dispatcher) draw(t *Txn) *Executor {
+	run, sums, picks, fleet := d.running(t, 0.5), [5]float64{}, [5]*Executor{}, d.fleet
 	// Danger: a zone with more traffic than its machines can carry drowns while others idle.
 	roam := d.terms.CrossPrice < dear || d.chance.unit()*d.prompts(false) > d.prompts(true)
 	if t.Key != 0 {
 		fleet = d.homes(t, roam)
 	}
-	idle := func(e *Executor) bool {
-		return e.busy == 0 && !e.full(t, d.now) && !slices.Contains(t.asked, e) && (roam || e.zone == d.terms.Zone) && d.health(e) >= leastH && !d.waits(e, run)
-	}
-	// An executor that was prompt and has a connection open still is likelier to have room, without a handshake.
-	for i := 0; t.Key == 0 && i < len(d.fleet); i++ {
-		e := d.fleet[i]
-		if (d.now < e.keptTill || d.warmth(e, d.now) < 1) && e.limit >= 1 && idle(e) && d.allowed(t, e) {
-			if sum += d.weight(t, e); d.chance.unit()*sum < d.weight(t, e) {
-				pick = e
-			}
-		}
-	}
-	// Danger: walking a large fleet for every txn makes a node late. With few slots out throws draw alike, where no
-	// weight is over one.
-	blind := t.Key == 0 && !d.terms.Live
-	for i := 0; i < throws && pick == nil && blind && throws*d.all.busy < float64(len(d.fleet)); i++ {
-		e := d.fleet[int(d.chance.unit()*float64(len(d.fleet)))]
-		if idle(e) && d.chance.unit() < d.weight(t, e) && d.allowed(t, e) {
-			pick = e
-		}
-	}
-	if pick != nil {
-		return pick
-	}
-	sick, mean := 4, d.all.busy/float64(len(d.fleet))
+	well := slices.ContainsFunc(fleet, func(e *Executor) bool { return d.health(e) >= leastH && d.allowed(t, e) })
+	mean := d.busy / float64(len(d.fleet))
 	for _, e := range fleet {
-		step := 0
-		if !d.allowed(t, e) || e.full(t, d.now) || slices.Contains(t.asked, e) {
+		if e.busy > 0 && e.busy+t.Slots > e.limit || e.full(t, d.now) || slices.Contains(t.asked, e) || d.waits(e, run) ||
+			well && d.health(e) < leastH || !d.allowed(t, e) {
 			continue
-		} else if d.health(e) < leastH {
-			step = 4
-		} else {
-			sick = 0
 		}
-		if !roam && e.zone != d.terms.Zone {
-			step += 2
+		// An executor that was prompt and has a connection open still is likelier to have room, without a handshake.
+		step := 1
+		if e.busy == 0 && e.limit >= 1 && (d.now < e.keptTill || d.warmth(e, d.now) < 1) {
+			step = 0
+		} else if e.busy >= margin+mean {
+			step = 2
 		}
-		if e.busy >= margin+mean {
-			step++
+		if !roam && e.zone != d.terms.Zone {
+			step = 3 + step/2
 		}
-		if (e.busy == 0 || e.busy+t.Slots <= e.limit) && !d.waits(e, run) {
-			if sums[step] += d.weight(t, e); d.chance.unit()*sums[step] < d.weight(t, e) {
-				picks[step] = e
-			}
+		if sums[step] += d.weight(t, e); d.chance.unit()*sums[step] < d.weight(t, e) {
+			picks[step] = e
 		}
 	}
-	// The sick count only if none else remains, with or without room.
-	return cmp.Or(picks[sick], picks[sick+1], picks[sick+2], picks[sick+3])
+	return cmp.Or(picks[:]...)
 }
 
 // homes are the few executors that txns about one thing are drawn among: the first in an order by chance that all nodes
@@ -590,7 +560,7 @@
 func (d *Dispatcher) post(t *Txn, e *Executor) {
 	p := &Posting{Txn: t, Executor: e, Number: len(t.Postings), Open: true, sent: d.now}
 	t.Postings = append(t.Postings, p)
-	e.busy, d.all.busy, t.live = e.busy+t.Slots, d.all.busy+t.Slots, t.live+1
+	e.busy, d.busy, t.live = e.busy+t.Slots, d.busy+t.Slots, t.live+1
 	if d.warmth(e, d.now) < 1 {
 		old := func(c charge) bool { return d.now-c.at > d.terms.Fall }
 		e.sends = append(slices.DeleteFunc(e.sends, old), charge{d.now, t.size})
@@ -608,11 +578,6 @@
 	}
 	d.door.Alarm(d.tolerated(p), func() {
 		if p.Open && p.started == 0 {
-			// Danger: many quiet nodes jam a fleet though none has filled any executor; once nearly all starts are
-			// late, what a node has out of all falls, once for what was sent since it last fell.
-			if p.sent >= d.all.idleAt && d.prompts(true) < 1-ease {
-				d.all.limit, d.all.idleAt = max(ease*min(d.all.limit, d.all.busy), 1), d.now
-			}
 			// Danger: machines of many slots stand half empty. Late starts leave each node its part of what one ran.
 			least := min(p.Executor.limit, d.sizes[p.Executor.kind]/float64(max(d.terms.Nodes, 1)))
 			d.adjust(p, p.Executor.busy, false)
@@ -660,9 +625,7 @@
 // copy sends the txn of a late posting to a second executor that has room for it. Where copies are not allowed it
 // takes the posting back instead, and the txn goes again where its scheme lets it.
 func (d *Dispatcher) copy(p *Posting) {
-	// Danger: copies in a full fleet take the room of txns that wait for it, here or at many other nodes.
-	// Where executors tell nothing of their load, copies look for room while those left may well find it.
-	t, told, left := p.Txn, d.terms.Reports, d.terms.MostPostings-len(p.Txn.Postings)
+	t, left := p.Txn, d.terms.MostPostings-len(p.Txn.Postings)
 	if !d.terms.MayDuplicate {
 		// Danger: what is taken back may run all the same and fills the fleet with work for nobody. Who stands still
 		// does none of it; else only a list that tells of load promises more room elsewhere.
@@ -672,12 +635,13 @@
 		}
 		return
 	}
-	if len(d.queue) > 0 || left <= 0 || told && t.live > 1 {
+	// Danger: copies in a full fleet take the room of txns that wait for it, here or at many other nodes.
+	if len(d.queue) > 0 || left <= 0 || t.live > 1 {
 		return
 	}
 	if e := d.draw(t); e != nil {
 		hit, gain := d.prompts(e.zone == d.terms.Zone), 1-t.Scheme.LateValue+d.terms.Missed
-		if told && hit*gain >= (1-hit)*behind || !told && hit*float64(left) >= hopeless {
+		if hit*gain >= (1-hit)*behind {
 			d.post(t, e)
 		}
 	}
@@ -694,7 +658,6 @@
 		return
 	}
 	starts.earned++
-	d.all.limit += growth
 	// Danger: executors that turn part away though not full stand empty. A full one would not start at once.
 	e.limit, e.room = max(e.limit, e.room), 0
 	if busy+1 >= e.limit {
@@ -748,7 +711,7 @@
 	if p.Open, e.idleAt = false, d.now; p.started > 0 {
 		e.atWork -= t.Slots
 	}
-	if e.busy, d.all.busy = e.busy-t.Slots, d.all.busy-t.Slots; !p.withdrawn {
+	if e.busy, d.busy = e.busy-t.Slots, d.busy-t.Slots; !p.withdrawn {
 		t.live--
 	}
 	// Danger: of many nodes none has more than one or two txns at an executor, and takes it for that small.
