One walk draws all that are asked; what is known of a kind of machine stands with its executors

Cause: asking drew four times, two walks each, and look-ups by kind in maps; over 10 us a request the price depends on the machine's mood. Change: draw returns as many as wanted from one walk (the least of waits drawn at rates of the weights, by steps); scores, slots and need of a kind stand in one model that its executors point to; homes and draw pick the least without sorting.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -113,16 +113,14 @@
 	fleet            []*Executor
 	queue            []*Txn
 	recent           map[family][]last
-	runs             []spread        // by scheme: running time over hint, or in seconds where there is no hint
-	works            spread          // size of txns, in seconds
-	prompt           int64           // least time seen from sending to the note of the start; 0: none seen
-	sizes            map[int]float64 // by kind: most slots seen at work in one executor
-	order            []place         // of executors, for one thing
-	keys             map[uint64]int  // txns by what they are about, of counted ones
+	runs             []spread       // by scheme: running time over hint, or in seconds where there is no hint
+	works            spread         // size of txns, in seconds
+	prompt           int64          // least time seen from sending to the note of the start; 0: none seen
+	models           map[int]*model // by kind of machine
+	drawn, near      []*Executor    // scratch space of draw and homes
+	keys             map[uint64]int // txns by what they are about, of counted ones
 	counted          int
-	bound            map[int]bool     // kinds that some scheme can't do without
 	toldAt           int64            // when an executor last told of its room
-	kinds            map[int]ledger   // by kind: scores over the top score
 	tenants, schemes []ledger         // arrivals, and billing value
 	busy             float64          // slots of all open postings
 	pumped           bool             // an alarm to look at the queue is out
@@ -131,13 +129,9 @@
 
 func New(terms *Terms, seed uint64, door Door, now int64) *Dispatcher {
 	d := &Dispatcher{terms: terms, door: door, born: now, now: now, chance: pcg(seed),
-		recent: map[family][]last{}, keys: map[uint64]int{}, bound: map[int]bool{}, sizes: map[int]float64{}, kinds: map[int]ledger{},
-		starts: map[bool]*ledger{true: {}, false: {}},
-		runs:   make([]spread, len(terms.Schemes)), tenants: make([]ledger, len(terms.Tenants)),
-		schemes: make([]ledger, len(terms.Schemes))}
-	for _, s := range terms.Schemes {
-		d.bound[s.Kind] = true
-	}
+		recent: map[family][]last{}, keys: map[uint64]int{}, models: map[int]*model{},
+		starts: map[bool]*ledger{true: {}, false: {}}, runs: make([]spread, len(terms.Schemes)),
+		tenants: make([]ledger, len(terms.Tenants)), schemes: make([]ledger, len(terms.Schemes))}
 	if terms.Subscribe {
 		door.Watch(true)
 	}
@@ -160,6 +154,11 @@
 		if !e.known {
 			d.fleet = append(d.fleet, e)
 		}
+		if e.model = d.models[m.Kind]; e.model == nil {
+			bound := slices.ContainsFunc(d.terms.Schemes, func(s *Scheme) bool { return s.Kind == m.Kind })
+			e.model = &model{bound: bound}
+			d.models[m.Kind] = e.model
+		}
 		// Danger: of many nodes each sees next to nothing of load; the draw alone fills the small and the slow.
 		if e.left = 1; d.terms.Live {
 			e.left = max(m.Units, 0.01)
@@ -268,30 +267,30 @@
 		d.finish(t)
 		return
 	}
-	if e := d.draw(t); e == nil {
+	// Danger: executors that never answer probes; what has heard nothing for some rounds goes out blindly.
+	asking := d.terms.Probes && !d.terms.Live && (t.rounds < asks || d.toldAt >= t.arrived)
+	if drawn := d.draw(t, asks); len(drawn) == 0 {
 		d.enqueue(t)
-	} else if mute := t.rounds >= asks && d.toldAt < t.arrived; d.terms.Probes && !d.terms.Live && !mute {
-		d.ask(t, e)
+	} else if asking {
+		d.ask(t, drawn)
 	} else {
-		d.post(t, e)
+		d.post(t, drawn[0])
 	}
 }
 
 // ask looks for room at a few executors drawn; the first to tell of some gets the txn.
 // Danger: of many nodes each sees next to nothing of load, and a long job's late start can't be made good.
-func (d *Dispatcher) ask(t *Txn, e *Executor) {
-	t.asked = t.asked[:0]
-	for ; e != nil && len(t.asked) < asks; e = d.draw(t) {
-		if t.asked = append(t.asked, e); len(e.askers) == 0 {
+func (d *Dispatcher) ask(t *Txn, drawn []*Executor) {
+	for _, e := range drawn {
+		if len(e.askers) == 0 {
 			d.door.Probe(e)
 		}
 		e.askers = append(e.askers, t)
 	}
 	t.rounds++
 	round := t.rounds
-	d.door.Alarm(int64(t.rounds)*askAgain, func() {
+	d.door.Alarm(int64(round)*askAgain, func() {
 		if !t.Over && t.live == 0 && t.rounds == round {
-			t.asked = t.asked[:0]
 			d.enqueue(t)
 		}
 	})
@@ -304,15 +303,16 @@
 	if e.askers, e.toldAt, e.free, e.memory = nil, d.now, free, memory; told {
 		d.toldAt = d.now
 	}
-	e.claims = slices.DeleteFunc(e.claims, func(c charge) bool { return d.now-c.at > reportAge })
 	for _, c := range e.claims {
-		e.free -= c.work
+		if d.now-c.at <= reportAge {
+			e.free -= c.work
+		}
 	}
 	for _, t := range askers {
 		// Danger: an answer that comes late; the list may have dropped the executor, and the txn may be out or over.
-		if !t.Over && t.live == 0 && slices.Contains(t.asked, e) && !e.full(t, d.now) && d.allowed(t, e) &&
+		if !t.Over && t.live == 0 && !e.full(t, d.now) && d.allowed(t, e) &&
 			d.chance.unit() < d.prompts(e.zone == d.terms.Zone) {
-			t.asked, e.memory = t.asked[:0], e.memory-t.Memory
+			e.memory -= t.Memory
 			d.post(t, e)
 			d.claim(e, t.Slots)
 			if d.terms.MayTell && t.rounds > 1 {
@@ -324,7 +324,8 @@
 
 // claim notes slots that a report does not count yet.
 func (d *Dispatcher) claim(e *Executor, slots float64) {
-	e.claims = append(e.claims, charge{d.now, slots})
+	old := func(c charge) bool { return d.now-c.at > reportAge }
+	e.claims = append(slices.DeleteFunc(e.claims, old), charge{d.now, slots})
 	e.free -= slots
 }
 
@@ -401,7 +402,7 @@
 // empty until it is warm. So a few nodes have their turn at a time, by their index among them and by the
 // executor's start, which all know, for a fraction of a fall window. Few nodes are one group.
 func (d *Dispatcher) part(e *Executor) (part float64, since int64, turn bool, of float64) {
-	all := safety * d.terms.FallMultiple * float64(d.terms.Fall) * max(d.sizes[e.kind], 1)
+	all := safety * d.terms.FallMultiple * float64(d.terms.Fall) * max(e.model.slots, 1)
 	nodes := max(d.terms.Nodes, 1)
 	least := d.works.at(highEnd, 0) * 1e9
 	length := max(d.terms.Fall/turns, 1)
@@ -434,15 +435,14 @@
 // weight is the design's: mean score over the top score, times H; a cold executor counts by its age.
 func (d *Dispatcher) weight(t *Txn, e *Executor) float64 {
 	// Danger: one of many nodes meets most executors seldom or never; until then their kind's mean stands in.
-	s := d.kinds[e.kind]
-	score := (s.earned + unscored) / (s.asked + 1)
+	score := (e.model.scores.earned + unscored) / (e.model.scores.asked + 1)
 	score = (float64(e.sum)/topScore + score*kindScores) / (float64(e.pooled) + kindScores)
 	if warmth := d.warmth(e, d.now); warmth < 1 {
 		_, _, _, groups := d.part(e) // seldom in turn, it is taken as much likelier then
 		score *= warmth * groups
 	}
 	// Danger: the rest crowd out a scheme that one kind alone can run.
-	if t.Scheme.Kind < 0 && d.bound[e.kind] {
+	if t.Scheme.Kind < 0 && e.model.bound {
 		score *= leave
 	}
 	return max(score, 0.01) * d.health(e) * e.left
@@ -478,69 +478,81 @@
 	return (l.earned + 1) / (l.asked + 1)
 }
 
-// draw picks an executor, at home first where crossing costs: an idle one known to be prompt, then an uncrowded one, then
-// any with room.
-func (d *Dispatcher) draw(t *Txn) *Executor {
-	run, sums, picks, fleet := d.running(t, 0.5), [5]float64{}, [5]*Executor{}, d.fleet
+// draw picks up to as many executors as wanted, in their order: idle ones known to be prompt, then uncrowded ones, then any
+// with room; those at home first where crossing costs. Among equals chance picks by weight: the least of waits drawn at
+// rates of the weights.
+func (d *Dispatcher) draw(t *Txn, count int) []*Executor {
+	run, fleet, well, mean := d.running(t, 0.5), d.fleet, false, d.busy/float64(len(d.fleet))
 	// Danger: a zone with more traffic than its machines can carry drowns while others idle.
 	roam := d.terms.CrossPrice < dear || d.chance.unit()*d.prompts(false) > d.prompts(true)
 	if t.Key != 0 {
 		fleet = d.homes(t, roam)
 	}
-	well := slices.ContainsFunc(fleet, func(e *Executor) bool { return d.health(e) >= leastH && d.allowed(t, e) })
-	mean := d.busy / float64(len(d.fleet))
+	d.drawn = d.drawn[:0]
 	for _, e := range fleet {
-		if e.busy > 0 && e.busy+t.Slots > e.limit || e.full(t, d.now) || slices.Contains(t.asked, e) || d.waits(e, run) ||
-			well && d.health(e) < leastH || !d.allowed(t, e) {
+		sick := d.health(e) < leastH
+		if sick && well || !d.allowed(t, e) {
+			continue
+		}
+		// The sick count only if none else remains, with or without room.
+		if !sick && !well {
+			well, d.drawn = true, d.drawn[:0]
+		}
+		if e.busy > 0 && e.busy+t.Slots > e.limit || e.full(t, d.now) || d.waits(e, run) {
 			continue
 		}
 		// An executor that was prompt and has a connection open still is likelier to have room, without a handshake.
-		step := 1
+		step := 1.0
 		if e.busy == 0 && e.limit >= 1 && (d.now < e.keptTill || d.warmth(e, d.now) < 1) {
 			step = 0
 		} else if e.busy >= margin+mean {
 			step = 2
 		}
 		if !roam && e.zone != d.terms.Zone {
-			step = 3 + step/2
+			step += 3
 		}
-		if sums[step] += d.weight(t, e); d.chance.unit()*sums[step] < d.weight(t, e) {
-			picks[step] = e
+		e.wait = step*1e9 - math.Log(d.chance.unit()+1e-12)/d.weight(t, e)
+		d.drawn = append(d.drawn, e)
+	}
+	return least(d.drawn, count)
+}
+
+// least brings the executors with the least waits to the front, in order.
+func least(of []*Executor, count int) []*Executor {
+	count = min(count, len(of))
+	for i := range count {
+		for j := i + 1; j < len(of); j++ {
+			if of[j].wait < of[i].wait {
+				of[i], of[j] = of[j], of[i]
+			}
 		}
 	}
-	return cmp.Or(picks[:]...)
+	return of[:count]
 }
 
 // homes are the few executors that txns about one thing are drawn among: the first in an order by chance that all nodes
 // share, by size, and as many as its part of all txns needs.
 // Danger: what an executor must fetch for each txn jams the store that all fetch from, and the jam feeds itself.
 func (d *Dispatcher) homes(t *Txn, roam bool) []*Executor {
-	count := leastHomes + int(math.Round(float64(d.keys[t.Key]-1)/float64(d.counted)*float64(len(d.fleet))))
-	d.order = d.order[:0]
+	d.near = d.near[:0]
 	for _, e := range d.fleet {
-		if !d.allowed(t, e) || d.health(e) < leastH {
+		if d.health(e) < leastH || !d.allowed(t, e) {
 			continue
 		}
 		g := pcg(t.Key ^ e.Mark)
 		g.unit()
-		wait := -math.Log(g.unit()+1e-12) / e.size
-		if t.Scheme.Kind < 0 && d.bound[e.kind] {
-			wait /= leave
+		if e.wait = -math.Log(g.unit()+1e-12) / e.size; t.Scheme.Kind < 0 && e.model.bound {
+			e.wait /= leave
 		}
 		if !roam && e.zone != d.terms.Zone {
-			wait += 1e3 // after all at home
+			e.wait += 1e9
 		}
-		d.order = append(d.order, place{e, wait})
-	}
-	slices.SortFunc(d.order, func(a, b place) int { return cmp.Compare(a.wait, b.wait) })
-	var among []*Executor
-	for _, p := range d.order[:min(count, len(d.order))] {
-		among = append(among, p.executor)
+		d.near = append(d.near, e)
 	}
-	if among == nil {
+	if len(d.near) == 0 {
 		return d.fleet
 	}
-	return among
+	return least(d.near, leastHomes+int(math.Round(float64(d.keys[t.Key]-1)/float64(d.counted)*float64(len(d.fleet)))))
 }
 
 // count adds a txn to those about one thing.
@@ -579,7 +591,7 @@
 	d.door.Alarm(d.tolerated(p), func() {
 		if p.Open && p.started == 0 {
 			// Danger: machines of many slots stand half empty. Late starts leave each node its part of what one ran.
-			least := min(p.Executor.limit, d.sizes[p.Executor.kind]/float64(max(d.terms.Nodes, 1)))
+			least := min(p.Executor.limit, p.Executor.model.slots/float64(max(d.terms.Nodes, 1)))
 			d.adjust(p, p.Executor.busy, false)
 			p.Executor.room, p.Executor.limit = 0, max(p.Executor.limit, least)
 			d.awaitStart(p)
@@ -639,7 +651,7 @@
 	if len(d.queue) > 0 || left <= 0 || t.live > 1 {
 		return
 	}
-	if e := d.draw(t); e != nil {
+	for _, e := range d.draw(t, 1) {
 		hit, gain := d.prompts(e.zone == d.terms.Zone), 1-t.Scheme.LateValue+d.terms.Missed
 		if hit*gain >= (1-hit)*behind {
 			d.post(t, e)
@@ -697,10 +709,8 @@
 	if lost {
 		score = 0
 	}
-	s := d.kinds[e.kind]
-	s.fade(d.now).asked++
-	s.earned += float64(score) / topScore
-	d.kinds[e.kind] = s
+	e.model.scores.fade(d.now).asked++
+	e.model.scores.earned += float64(score) / topScore
 	e.pooled, e.sum = min(e.pooled+1, poolSize), e.sum+int(score)-int(e.pool[e.next])
 	e.pool[e.next], e.next = score, (e.next+1)%poolSize
 }
@@ -715,7 +725,7 @@
 		t.live--
 	}
 	// Danger: of many nodes none has more than one or two txns at an executor, and takes it for that small.
-	d.sizes[e.kind] = max(d.sizes[e.kind], p.Free)
+	e.model.slots = max(e.model.slots, p.Free)
 	p.unrun = o == Full || o == Undialed || o == Unsent
 	switch o {
 	case Settled:
@@ -726,11 +736,7 @@
 			e.h, e.hAt, e.keptTill = min(d.health(e)+reward, 1), d.now, d.now+d.terms.IdleClose
 			d.rank(p, float64(took)/t.unit(), false)
 		}
-		ran := d.now - max(p.sent, p.started)
-		if high := d.running(t, highEnd); !d.terms.TellsStart && (ran <= high || ran > 2*high) {
-			d.adjust(p, e.busy+t.Slots, ran <= high)
-		}
-		d.runs[t.Scheme.Index].add(float64(ran) / t.unit())
+		d.runs[t.Scheme.Index].add(float64(d.now-max(p.sent, p.started)) / t.unit())
 	case Erred, TimedOut, Undialed, Broken, Stale: // Danger: a gone connection, at once, is no sick executor
 		if !p.withdrawn && (o != Stale || took > d.patience()) {
 			d.blame(p)
@@ -787,7 +793,7 @@
 	p.started = d.now
 	d.prompt = min(cmp.Or(d.prompt, d.now-p.sent), d.now-p.sent)
 	e.atWork += t.Slots
-	d.sizes[e.kind] = max(d.sizes[e.kind], e.atWork)
+	e.model.slots = max(e.model.slots, e.atWork)
 	if d.now-p.sent <= d.tolerated(p) {
 		d.adjust(p, e.busy, true)
 	}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -134,14 +134,13 @@
 	Over     bool // the final answer is given, or the client has left
 
 	arrived, aim int64
-	value        float64     // billing value when in time
-	size         float64     // slots times expected work
-	earns        float64     // billing value for each unit of size that can be expected now
-	live         int         // postings out and not withdrawn
-	asked        []*Executor // for room, without an answer that has room
-	rounds       int         // of asking
-	queued, over bool        // over: beyond its tenant's share
-	forget       func()      // releases the alarm of its expiry
+	value        float64 // billing value when in time
+	size         float64 // slots times expected work
+	earns        float64 // billing value for each unit of size that can be expected now
+	live         int     // postings out and not withdrawn
+	rounds       int     // of asking for room
+	queued, over bool    // over: beyond its tenant's share
+	forget       func()  // releases the alarm of its expiry
 }
 
 // Posting is one sending of a txn to an executor.
@@ -167,6 +166,8 @@
 	State State
 
 	zone, kind, cell int
+	model            *model
+	wait             float64 // drawn, for one txn; the least is picked
 	since            int64
 	known            bool
 
@@ -225,8 +226,9 @@
 	return h.Sum64()
 }
 
-// place is an executor in an order.
-type place struct {
-	executor *Executor
-	wait     float64
+// model is what is known of one kind of machine.
+type model struct {
+	scores ledger  // over the top score
+	slots  float64 // the most seen at work in one executor, or told to be free
+	bound  bool    // some scheme can't do without it
 }
