A node that stood still looks again before it judges its executors

Running times of nothing, where start and end are found together, went into the histograms. Change: an alarm of these three that comes later than a start is waited for looks again a tick later, when the notes are told; a job that started and ended at one instant tells no running time. Test seen to fail without it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -582,13 +582,26 @@
 	d.watch(p)
 }
 
+// judge looks at a posting after a while.
+// Danger: a node that stood still finds alarms and notes all at once; its own lateness looks like its executors'.
+func (d *Dispatcher) judge(after int64, then func()) {
+	due := d.now + after
+	d.door.Alarm(after, func() {
+		if d.now > due+d.patience() {
+			d.door.Alarm(d.terms.Tick, then)
+		} else {
+			then()
+		}
+	})
+}
+
 // watch sees to a posting's end once it runs, and before that, where executors tell, to its start.
 func (d *Dispatcher) watch(p *Posting) {
 	if p.started > 0 || !d.terms.TellsStart {
 		d.awaitEnd(p, d.terms.Tick)
 		return
 	}
-	d.door.Alarm(d.tolerated(p), func() {
+	d.judge(d.tolerated(p), func() {
 		if p.Open && p.started == 0 {
 			// Danger: machines of many slots stand half empty. Late starts leave each node its part of what one ran.
 			least := min(p.Executor.limit, p.Executor.model.slots/float64(max(d.terms.Nodes, 1)))
@@ -614,7 +627,7 @@
 		d.copy(p)
 		wait = max((d.now-p.sent)/2, d.patience())
 	}
-	d.door.Alarm(wait, func() { d.awaitStart(p) })
+	d.judge(wait, func() { d.awaitStart(p) })
 }
 
 // awaitEnd decides what becomes of a posting that runs too long or stands still.
@@ -631,7 +644,7 @@
 		}
 	}
 	wait = min(max(run/2, wait), cmp.Or(period, run))
-	d.door.Alarm(wait, func() { d.awaitEnd(p, 2*wait) })
+	d.judge(wait, func() { d.awaitEnd(p, 2*wait) })
 }
 
 // copy sends the txn of a late posting to a second executor that has room for it. Where copies are not allowed it
@@ -736,7 +749,9 @@
 			e.h, e.hAt, e.keptTill = min(d.health(e)+reward, 1), d.now, d.now+d.terms.IdleClose
 			d.rank(p, float64(took)/t.unit(), false)
 		}
-		d.runs[t.Scheme.Index].add(float64(d.now-max(p.sent, p.started)) / t.unit())
+		if ran := d.now - max(p.sent, p.started); ran > 0 {
+			d.runs[t.Scheme.Index].add(float64(ran) / t.unit())
+		}
 	case Erred, TimedOut, Undialed, Broken, Stale: // Danger: a gone connection, at once, is no sick executor
 		if !p.withdrawn && (o != Stale || took > d.patience()) {
 			d.blame(p)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -711,3 +711,36 @@
 		t.Error("what was told once counts for ever")
 	}
 }
+
+// TestANodeThatStoodStill finds its alarms and the notes of its executors all at once, and blames nobody for it.
+func TestANodeThatStoodStill(t *testing.T) {
+	w := newWorld(t, 4, basicTerms())
+	w.join(1, false)
+	e := w.fleet[0].Executor
+	w.arrive(0, 1, 3e9, 9e9)
+	running := w.open[0]
+	w.d.Started(running)
+	w.pass(2e8)
+	w.d.Progress(running, 0.1)
+	w.arrive(0, 1, 3e9, 9e9)
+	waiting := w.open[1]
+	limit := e.limit
+	w.now += 2e9 // the node has no turn
+	w.d.At(w.now)
+	due := w.alarms
+	w.alarms = nil
+	for _, a := range due {
+		if a.at <= w.now {
+			a.then()
+		} else {
+			w.alarms = append(w.alarms, a)
+		}
+	}
+	w.d.Progress(running, 0.7)
+	w.d.Started(waiting)
+	w.d.Settle()
+	w.pass(1e8)
+	if w.d.health(e) < 1 || e.limit < limit || len(w.open) != 2 {
+		t.Errorf("H %v, limit %v of %v, %d out", w.d.health(e), e.limit, limit, len(w.open))
+	}
+}
