Cold executors are homes of all in a node's turn; one place judges postings

Checks: 1 of 100 postings goes to executors under 30 s old, in both halves of the swap; those are prompt. Cause: one node of 175 has its turn at a cold one, for a quarter second, and by key its txns have other homes. Change: a cold executor that this node may send to is among the homes of every txn. Test seen to fail without it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -8,7 +8,9 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
 )
 
@@ -87,16 +89,6 @@
 	return unknown
 }
 
-// pcg is a permuted congruential generator.
-type pcg uint64
-
-func (g *pcg) unit() float64 {
-	old := uint64(*g)
-	*g = pcg(old*6364136223846793005 + 1442695040888963407)
-	x, rot := uint32((old>>18^old)>>27), uint32(old>>59)
-	return float64(x>>rot|x<<(-rot&31)) / (1 << 32)
-}
-
 func (l *ledger) fade(now int64) *ledger {
 	f := math.Exp(-float64(now-l.at) / recovery)
 	l.asked, l.earned, l.at = l.asked*f, l.earned*f, now
@@ -109,7 +101,7 @@
 	door             Door
 	born, now        int64
 	failed           int // calls for the list since one succeeded
-	chance           pcg
+	chance           *rand.Rand
 	fleet            []*Executor
 	queue            []*Txn
 	recent           map[family][]last
@@ -128,7 +120,7 @@
 }
 
 func New(terms *Terms, seed uint64, door Door, now int64) *Dispatcher {
-	d := &Dispatcher{terms: terms, door: door, born: now, now: now, chance: pcg(seed),
+	d := &Dispatcher{terms: terms, door: door, born: now, now: now, chance: rand.New(rand.NewPCG(seed, 1)),
 		recent: map[family][]last{}, keys: map[uint64]int{}, models: map[int]*model{},
 		starts: map[bool]*ledger{true: {}, false: {}}, runs: make([]spread, len(terms.Schemes)),
 		tenants: make([]ledger, len(terms.Tenants)), schemes: make([]ledger, len(terms.Schemes))}
@@ -154,17 +146,17 @@
 		if !e.known {
 			d.fleet = append(d.fleet, e)
 		}
-		if e.model = d.models[m.Kind]; e.model == nil {
-			bound := slices.ContainsFunc(d.terms.Schemes, func(s *Scheme) bool { return s.Kind == m.Kind })
-			e.model = &model{bound: bound}
-			d.models[m.Kind] = e.model
+		if d.models[m.Kind] == nil {
+			needs := func(s *Scheme) bool { return s.Kind == m.Kind }
+			d.models[m.Kind] = &model{bound: slices.ContainsFunc(d.terms.Schemes, needs)}
 		}
 		// Danger: of many nodes each sees next to nothing of load; the draw alone fills the small and the slow.
 		if e.left = 1; d.terms.Live {
 			e.left = max(m.Units, 0.01)
 			e.size = max(e.size, e.left)
 		}
-		e.known, e.State, e.zone, e.kind, e.cell, e.since = true, m.State, m.Zone, m.Kind, m.Cell, m.Since
+		e.known, e.State, e.since, e.model = true, m.State, m.Since, d.models[m.Kind]
+		e.zone, e.kind, e.cell = m.Zone, m.Kind, m.Cell
 	}
 	d.fleet = slices.DeleteFunc(d.fleet, func(e *Executor) bool {
 		e.known = e.State != Gone
@@ -179,7 +171,7 @@
 	if len(d.fleet) == 0 {
 		wait = 0
 	}
-	d.door.Alarm(int64(float64(wait)*d.chance.unit()), func() { d.door.Watch(true) })
+	d.door.Alarm(int64(float64(wait)*d.chance.Float64()), func() { d.door.Watch(true) })
 }
 
 // ListFailed takes the failure of a call for the list; the next one waits, to spare a service in trouble.
@@ -187,7 +179,7 @@
 func (d *Dispatcher) ListFailed() {
 	wait := float64(d.terms.AskWithin) / 4 * math.Exp2(float64(min(d.failed, 1))) // half of what news may take
 	d.failed++
-	d.door.Alarm(int64(wait*(0.5+d.chance.unit())), func() { d.door.Watch(true) })
+	d.door.Alarm(int64(wait*(0.5+d.chance.Float64())), func() { d.door.Watch(true) })
 }
 
 func (d *Dispatcher) Arrive(t *Txn) {
@@ -206,7 +198,7 @@
 	if t.over {
 		t.value *= d.terms.OverValue
 		// Danger: many quiet nodes hold no queue to sort; what is worth little then jams the machines for all.
-		if d.terms.Reports && d.chance.unit() > d.prompts(true) {
+		if d.terms.Reports && d.chance.Float64() > d.prompts(true) {
 			t.value = 0
 		}
 	}
@@ -236,7 +228,7 @@
 	own := d.tenants[t.Tenant].fade(d.now)
 	own.asked++
 	due := (others + 1) * d.terms.Tenants[t.Tenant].Share / shares
-	return d.chance.unit()*own.asked > overMark*due+2*math.Sqrt(due) // twice the spread of chance
+	return d.chance.Float64()*own.asked > overMark*due+2*math.Sqrt(due) // twice the spread of chance
 }
 
 // favour is what a txn counts for over its value: more in the scheme served worst, by the terms.
@@ -311,7 +303,7 @@
 	for _, t := range askers {
 		// Danger: an answer that comes late; the list may have dropped the executor, and the txn may be out or over.
 		if !t.Over && t.live == 0 && !e.full(t, d.now) && d.allowed(t, e) &&
-			d.chance.unit() < d.prompts(e.zone == d.terms.Zone) {
+			d.chance.Float64() < d.prompts(e.zone == d.terms.Zone) {
 			e.memory -= t.Memory
 			d.post(t, e)
 			d.claim(e, t.Slots)
@@ -484,7 +476,7 @@
 func (d *Dispatcher) draw(t *Txn, count int) []*Executor {
 	run, fleet, well, mean := d.running(t, 0.5), d.fleet, false, d.busy/float64(len(d.fleet))
 	// Danger: a zone with more traffic than its machines can carry drowns while others idle.
-	roam := d.terms.CrossPrice < dear || d.chance.unit()*d.prompts(false) > d.prompts(true)
+	roam := d.terms.CrossPrice < dear || d.chance.Float64()*d.prompts(false) > d.prompts(true)
 	if t.Key != 0 {
 		fleet = d.homes(t, roam)
 	}
@@ -511,7 +503,7 @@
 		if !roam && e.zone != d.terms.Zone {
 			step += 3
 		}
-		e.wait = step*1e9 - math.Log(d.chance.unit()+1e-12)/d.weight(t, e)
+		e.wait = step*1e9 - math.Log(1-d.chance.Float64())/d.weight(t, e)
 		d.drawn = append(d.drawn, e)
 	}
 	return least(d.drawn, count)
@@ -534,36 +526,40 @@
 // share, by size, and as many as its part of all txns needs.
 // Danger: what an executor must fetch for each txn jams the store that all fetch from, and the jam feeds itself.
 func (d *Dispatcher) homes(t *Txn, roam bool) []*Executor {
+	count := leastHomes + int(math.Round(float64(d.keys[t.Key]-1)/float64(d.counted)*float64(len(d.fleet))))
 	d.near = d.near[:0]
 	for _, e := range d.fleet {
 		if d.health(e) < leastH || !d.allowed(t, e) {
 			continue
 		}
-		g := pcg(t.Key ^ e.Mark)
-		g.unit()
-		if e.wait = -math.Log(g.unit()+1e-12) / e.size; t.Scheme.Kind < 0 && e.model.bound {
+		luck := float64(rand.NewPCG(t.Key, e.Mark).Uint64()>>11+1) / (1 << 53)
+		if e.wait = -math.Log(luck) / e.size; t.Scheme.Kind < 0 && e.model.bound {
 			e.wait /= leave
 		}
 		if !roam && e.zone != d.terms.Zone {
 			e.wait += 1e9
 		}
+		// Danger: a few nodes at a time may send to a cold one; by key none of them ever would.
+		if d.warmth(e, d.now) < 1 {
+			e.wait = 0
+			count++
+		}
 		d.near = append(d.near, e)
 	}
 	if len(d.near) == 0 {
 		return d.fleet
 	}
-	return least(d.near, leastHomes+int(math.Round(float64(d.keys[t.Key]-1)/float64(d.counted)*float64(len(d.fleet)))))
+	return least(d.near, count)
 }
 
 // count adds a txn to those about one thing.
 func (d *Dispatcher) count(t *Txn) {
 	if d.counted++; d.counted > keyCounts {
 		d.counted /= 2
-		for key, n := range d.keys {
-			if d.keys[key] = n / 2; n < 2 {
-				delete(d.keys, key)
-			}
-		}
+		maps.DeleteFunc(d.keys, func(key uint64, n int) bool {
+			d.keys[key] = n / 2
+			return n < 2
+		})
 	}
 	d.keys[t.Key]++
 }
@@ -582,13 +578,16 @@
 	d.watch(p)
 }
 
-// judge looks at a posting after a while.
+// judge looks after a while at a posting that is still out.
 // Danger: a node that stood still finds alarms and notes all at once; its own lateness looks like its executors'.
-func (d *Dispatcher) judge(after int64, then func()) {
-	due := d.now + after
+func (d *Dispatcher) judge(p *Posting, after int64, then func()) {
+	due := d.now + after + d.patience()
 	d.door.Alarm(after, func() {
-		if d.now > due+d.patience() {
-			d.door.Alarm(d.terms.Tick, then)
+		if !p.Open || p.Txn.Over {
+			return
+		}
+		if d.now > due {
+			d.judge(p, d.terms.Tick, then)
 		} else {
 			then()
 		}
@@ -601,8 +600,8 @@
 		d.awaitEnd(p, d.terms.Tick)
 		return
 	}
-	d.judge(d.tolerated(p), func() {
-		if p.Open && p.started == 0 {
+	d.judge(p, d.tolerated(p), func() {
+		if p.started == 0 {
 			// Danger: machines of many slots stand half empty. Late starts leave each node its part of what one ran.
 			least := min(p.Executor.limit, p.Executor.model.slots/float64(max(d.terms.Nodes, 1)))
 			d.adjust(p, p.Executor.busy, false)
@@ -612,39 +611,35 @@
 	})
 }
 
-// awaitStart decides what becomes of a posting that waits at its executor, as if the txn waited here.
+// awaitStart decides what becomes of a posting that waits at its executor.
 func (d *Dispatcher) awaitStart(p *Posting) {
-	if !p.Open || p.Txn.Over || p.started > 0 {
+	wait, s := d.slack(p.Txn, d.now)/2, p.Txn.Scheme
+	if p.started > 0 {
 		return
 	}
 	// Danger: what is declined here may run all the same and comes back as a retry, so that a jam never ends.
-	if s := p.Txn.Scheme; s.Effect == Repeatable && s.LateValue == 0 && d.earns(p.Txn) <= 0 {
+	if s.Effect == Repeatable && s.LateValue == 0 && d.earns(p.Txn) <= 0 {
 		d.finish(p.Txn)
 		return
 	}
-	wait := d.slack(p.Txn, d.now) / 2
 	if !d.terms.Reports || wait <= d.patience() {
 		d.copy(p)
 		wait = max((d.now-p.sent)/2, d.patience())
 	}
-	d.judge(wait, func() { d.awaitStart(p) })
+	d.judge(p, wait, func() { d.awaitStart(p) })
 }
 
 // awaitEnd decides what becomes of a posting that runs too long or stands still.
 func (d *Dispatcher) awaitEnd(p *Posting, wait int64) {
-	if !p.Open || p.Txn.Over {
-		return
-	}
-	age, run, period := d.now-max(p.sent, p.started), d.running(p.Txn, highEnd), d.terms.Progress
+	run, period := d.running(p.Txn, highEnd), d.terms.Progress
 	still := period > 0 && d.now-max(p.told, p.started, p.sent) > int64(missing*float64(period))
-	nearlyDone := p.share > 0 && float64(age)*(1-p.share)/p.share < float64(run)
-	if still || age > int64(overrun*float64(run)) && !nearlyDone {
+	if still || d.now-max(p.sent, p.started) > int64(overrun*float64(run)) {
 		if d.blame(p); still || d.terms.MayDuplicate {
 			d.copy(p)
 		}
 	}
 	wait = min(max(run/2, wait), cmp.Or(period, run))
-	d.judge(wait, func() { d.awaitEnd(p, 2*wait) })
+	d.judge(p, wait, func() { d.awaitEnd(p, 2*wait) })
 }
 
 // copy sends the txn of a late posting to a second executor that has room for it. Where copies are not allowed it
@@ -821,7 +816,7 @@
 	d.watch(p)
 }
 
-func (d *Dispatcher) Progress(p *Posting, share float64) { p.share, p.told = share, d.now }
+func (d *Dispatcher) Progress(p *Posting) { p.told = d.now }
 
 // Settle ends a round of events: it places waiting txns, the worthiest first, or gives them up.
 func (d *Dispatcher) Settle() {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -721,7 +721,7 @@
 	running := w.open[0]
 	w.d.Started(running)
 	w.pass(2e8)
-	w.d.Progress(running, 0.1)
+	w.d.Progress(running)
 	w.arrive(0, 1, 3e9, 9e9)
 	waiting := w.open[1]
 	limit := e.limit
@@ -736,7 +736,7 @@
 			w.alarms = append(w.alarms, a)
 		}
 	}
-	w.d.Progress(running, 0.7)
+	w.d.Progress(running)
 	w.d.Started(waiting)
 	w.d.Settle()
 	w.pass(1e8)
@@ -744,3 +744,35 @@
 		t.Errorf("H %v, limit %v of %v, %d out", w.d.health(e), e.limit, limit, len(w.open))
 	}
 }
+
+// TestColdExecutorsAreHomes: a few nodes at a time may send to a cold executor; whoever may does, whatever the txn is
+// about, or by key none of them ever would and what was swapped stands empty.
+func TestColdExecutorsAreHomes(t *testing.T) {
+	met := 0
+	for key := range uint64(20) {
+		w := newWorld(t, key, basicTerms())
+		w.join(20, false)
+		for i, m := range w.fleet {
+			m.Executor.Mark = Mark(strconv.Itoa(i))
+		}
+		w.pass(3e9)
+		cold := w.fleet[7]
+		cold.Since = w.now - w.terms.Cold/2
+		w.list(true)
+		for range 20 {
+			tx := &Txn{Scheme: w.terms.Schemes[0], Slots: 1, Hint: 1e7, Expiry: w.now + 9e9, Key: key + 1}
+			w.txns = append(w.txns, tx)
+			w.d.Arrive(tx)
+			w.d.Settle()
+			w.settle()
+			w.pass(1e8)
+			if tx.Postings[0].Executor == cold.Executor {
+				met++
+				break
+			}
+		}
+	}
+	if met < 15 {
+		t.Errorf("%d of 20 things meet the cold executor", met)
+	}
+}
--- a/dispatch/helpers_test.go
+++ b/dispatch/helpers_test.go
@@ -227,7 +227,7 @@
 		if busy := p.Executor.atWork; busy+p.Txn.Slots <= testSlots {
 			w.d.Started(p)
 		}
-		w.d.Progress(p, w.Float64())
+		w.d.Progress(p)
 	case n == 14 && len(w.fleet) > 0:
 		m := w.fleet[w.IntN(len(w.fleet))]
 		if m.State = State(w.IntN(3)); m.State == Up && w.IntN(2) == 0 {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -153,7 +153,6 @@
 	Free     float64 // free slots that the executor reported with the outcome; 0: none, or not told
 
 	sent, started, told int64
-	share               float64 // done, as last told
 	blamed, withdrawn   bool
 	unrun               bool   // proved not to have run
 	then                func() // what the outcome leads to
--- a/internal/routing/life.go
+++ b/internal/routing/life.go
@@ -132,7 +132,7 @@
 					began = n.clock()
 					n.module.Started(p)
 				} else {
-					n.module.Progress(p, line.Share)
+					n.module.Progress(p)
 				}
 			})
 		}, ended)
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -325,7 +325,7 @@
 }
 
 func (n *node) note(f *fields) {
-	p, topic, level := n.posting(f), f.whole("Topic"), f.realOr("Level", 0)
+	p, topic := n.posting(f), f.whole("Topic")
 	if p == nil || !p.Open || f.err != nil {
 		return
 	}
@@ -333,7 +333,7 @@
 	case 1:
 		n.module.Started(p)
 	case 2:
-		n.module.Progress(p, level)
+		n.module.Progress(p)
 	}
 }
 
