The test of cold homes has other things asked for, and fails without them

As first written all txns were about one thing, whose homes are the whole fleet, so it could not fail.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -756,6 +756,7 @@
 			m.Executor.Mark = Mark(strconv.Itoa(i))
 		}
 		w.pass(3e9)
+		w.d.counted = 200 // others are about other things
 		cold := w.fleet[7]
 		cold.Since = w.now - w.terms.Cold/2
 		w.list(true)
