--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1,13 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 
 // Package dispatch decides, for one node, which executor gets which txn, and when a txn is given up.
-//
 // How to call it: New at start; At with the clock, then one call for each event; Settle after a round.
 package dispatch
 
 import (
 	"cmp"
-	"encoding/binary"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -39,62 +37,14 @@
 	dear       = 0.02 // price of a crossing from which home goes first; under it a late answer costs more
 	leave      = 0.5  // factor on executors of a kind that other schemes need, which can go nowhere else
 	reportAge  = 4e8  // ns; for which what was taken is not in reports yet; a few reports a second are usual
-	leastHomes = 2    // executors that txns about one thing are drawn among; the second for when the first is full
+	leastHomes = 2    // executors for txns about one thing; the second for when the first is full
 	asks       = 4    // executors asked for room at a time; with one in two full, one in sixteen finds none
-	askAgain   = 1e8  // ns; that what was told counts, and until others are asked; a few reports a second are usual
-	keyCounts  = 256  // txns after which counts by key are halved; enough to tell a tenth of all from a hundredth
-	halveAt    = 64   // entries at which a histogram is halved; some tens of seconds of a scheme's answers
+	askAgain   = 1e8  // ns; that word of room counts, and until others are asked; some reports a second
+	keyCounts  = 256  // txns after which counts by key are halved; tells a tenth of all from a hundredth
 )
 
 var places = [3]uint8{10, 6, 2} // scores by rank; the design's start
 
-// spread is a small histogram over ratios or seconds, two bins a doubling from 1/256 upwards.
-type spread struct {
-	bin [36]uint16
-	n   int
-}
-
-func bin(v float64) int {
-	return min(int(2*math.Log2(max(v*256, 1))), len(spread{}.bin)-1)
-}
-
-func (s *spread) add(v float64) {
-	s.bin[bin(v)]++
-	if s.n++; s.n >= halveAt {
-		s.n = 0
-		for i := range s.bin {
-			s.bin[i] /= 2
-			s.n += int(s.bin[i])
-		}
-	}
-}
-
-// below is the share of entries under a value; half while nothing is known.
-func (s *spread) below(v float64) float64 {
-	under := 0
-	for _, c := range s.bin[:bin(v)] {
-		under += int(c)
-	}
-	return (float64(under) + 0.5) / float64(s.n+1)
-}
-
-// at is the q-quantile, or the given value while nothing is known.
-func (s *spread) at(q, unknown float64) float64 {
-	left := q * float64(s.n)
-	for i, c := range s.bin {
-		if left -= float64(c); left < 0 {
-			return math.Exp2((float64(i)+0.5)/2) / 256
-		}
-	}
-	return unknown
-}
-
-func (l *ledger) fade(now int64) *ledger {
-	f := math.Exp(-float64(now-l.at) / recovery)
-	l.asked, l.earned, l.at = l.asked*f, l.earned*f, now
-	return l
-}
-
 // Dispatcher is the decision module of one node.
 type Dispatcher struct {
 	terms            *Terms
@@ -167,11 +117,8 @@
 // Follow asks for news of the list for the first time; where there is a list to go by, at a time by chance.
 // Danger: nodes that start together ask together; a service that answers some too late works for nothing.
 func (d *Dispatcher) Follow() {
-	wait := d.terms.AskWithin / 4
-	if len(d.fleet) == 0 {
-		wait = 0
-	}
-	d.door.Alarm(int64(float64(wait)*d.chance.Float64()), func() { d.door.Watch(true) })
+	wait := float64(d.terms.AskWithin) / 4 * float64(min(len(d.fleet), 1))
+	d.door.Alarm(int64(wait*d.chance.Float64()), func() { d.door.Watch(true) })
 }
 
 // ListFailed takes the failure of a call for the list; the next one waits, to spare a service in trouble.
@@ -259,7 +206,7 @@
 		d.finish(t)
 		return
 	}
-	// Danger: executors that never answer probes; what has heard nothing for some rounds goes out blindly.
+	// Danger: executors that never answer probes. What has heard nothing for some rounds goes out blindly.
 	asking := d.terms.Probes && !d.terms.Live && (t.rounds < asks || d.toldAt >= t.arrived)
 	if drawn := d.draw(t, asks); len(drawn) == 0 {
 		d.enqueue(t)
@@ -289,7 +236,7 @@
 }
 
 // Probed takes what an executor told of its room, if it told of any.
-// Danger: what many nodes were told they all take at once. They take it with the chance that starts are prompt.
+// Danger: what many nodes were told they all take at once; so with the chance that starts are prompt.
 func (d *Dispatcher) Probed(e *Executor, told bool, free, memory float64) {
 	askers := e.askers
 	if e.askers, e.toldAt, e.free, e.memory = nil, d.now, free, memory; told {
@@ -301,36 +248,26 @@
 		}
 	}
 	for _, t := range askers {
-		// Danger: an answer that comes late; the list may have dropped the executor, and the txn may be out or over.
+		// Danger: an answer that comes late; the executor may be gone, and the txn out or over.
 		if !t.Over && t.live == 0 && !e.full(t, d.now) && d.allowed(t, e) &&
 			d.chance.Float64() < d.prompts(e.zone == d.terms.Zone) {
 			e.memory -= t.Memory
 			d.post(t, e)
-			d.claim(e, t.Slots)
+			d.Taken(e, t.Slots)
 			if d.terms.MayTell && t.rounds > 1 {
-				d.door.Tell(binary.BigEndian.AppendUint32([]byte{byte(t.Slots)}, uint32(e.Mark)))
+				d.door.Tell(e, t.Slots)
 			}
 		}
 	}
 }
 
-// claim notes slots that a report does not count yet.
-func (d *Dispatcher) claim(e *Executor, slots float64) {
+// Taken notes slots that this or another node took at an executor, for as long as reports may lack them.
+func (d *Dispatcher) Taken(e *Executor, slots float64) {
 	old := func(c charge) bool { return d.now-c.at > reportAge }
 	e.claims = append(slices.DeleteFunc(e.claims, old), charge{d.now, slots})
 	e.free -= slots
 }
 
-// Heard takes what another node tells: that it has taken room at an executor. Only known executors count, and it fades
-// like a report, so that what is lost, late or odd does little harm.
-func (d *Dispatcher) Heard(message []byte) {
-	for _, e := range d.fleet {
-		if len(message) == 5 && uint32(e.Mark) == binary.BigEndian.Uint32(message[1:]) {
-			d.claim(e, float64(message[0]))
-		}
-	}
-}
-
 // full says whether the executor told lately that the txn finds no room there.
 func (e *Executor) full(t *Txn, now int64) bool {
 	return e.toldAt > 0 && now-e.toldAt < askAgain && (e.free < t.Slots || e.memory < t.Memory)
@@ -388,11 +325,9 @@
 	return turn && d.born < since && sum <= part
 }
 
-// part is what this node may send a cold executor, since when that counts, whether it may now at all, and how
-// many nodes take turns with it.
-// Danger: an even part of many nodes is less than one txn; none would send any, and what was swapped stands
-// empty until it is warm. So a few nodes have their turn at a time, by their index among them and by the
-// executor's start, which all know, for a fraction of a fall window. Few nodes are one group.
+// part is what this node may send a cold executor, since when, whether now, and how many groups take turns.
+// Danger: an even part of many nodes is less than one txn, and what was swapped stands empty. So a few nodes
+// have their turn, by index and the executor's start, for a part of a fall window. Few nodes are one group.
 func (d *Dispatcher) part(e *Executor) (part float64, since int64, turn bool, of float64) {
 	all := safety * d.terms.FallMultiple * float64(d.terms.Fall) * max(e.model.slots, 1)
 	nodes := max(d.terms.Nodes, 1)
@@ -470,9 +405,8 @@
 	return (l.earned + 1) / (l.asked + 1)
 }
 
-// draw picks up to as many executors as wanted, in their order: idle ones known to be prompt, then uncrowded ones, then any
-// with room; those at home first where crossing costs. Among equals chance picks by weight: the least of waits drawn at
-// rates of the weights.
+// draw picks executors by chance and weight, idle and prompt ones before uncrowded ones before any with room,
+// home first where crossing is dear. The least of waits drawn at rates of weights is a draw in proportion to them.
 func (d *Dispatcher) draw(t *Txn, count int) []*Executor {
 	run, fleet, well, mean := d.running(t, 0.5), d.fleet, false, d.busy/float64(len(d.fleet))
 	// Danger: a zone with more traffic than its machines can carry drowns while others idle.
@@ -493,7 +427,7 @@
 		if e.busy > 0 && e.busy+t.Slots > e.limit || e.full(t, d.now) || d.waits(e, run) {
 			continue
 		}
-		// An executor that was prompt and has a connection open still is likelier to have room, without a handshake.
+		// One that was prompt and has a connection open still is likelier to have room, without a handshake.
 		step := 1.0
 		if e.busy == 0 && e.limit >= 1 && (d.now < e.keptTill || d.warmth(e, d.now) < 1) {
 			step = 0
@@ -506,25 +440,12 @@
 		e.wait = step*1e9 - math.Log(1-d.chance.Float64())/d.weight(t, e)
 		d.drawn = append(d.drawn, e)
 	}
-	return least(d.drawn, count)
+	slices.SortFunc(d.drawn, byWait)
+	return d.drawn[:min(count, len(d.drawn))]
 }
 
-// least brings the executors with the least waits to the front, in order.
-func least(of []*Executor, count int) []*Executor {
-	count = min(count, len(of))
-	for i := range count {
-		for j := i + 1; j < len(of); j++ {
-			if of[j].wait < of[i].wait {
-				of[i], of[j] = of[j], of[i]
-			}
-		}
-	}
-	return of[:count]
-}
-
-// homes are the few executors that txns about one thing are drawn among: the first in an order by chance that all nodes
-// share, by size, and as many as its part of all txns needs.
-// Danger: what an executor must fetch for each txn jams the store that all fetch from, and the jam feeds itself.
+// homes are the few that txns about one thing are drawn among: by a chance that all nodes share, and by size.
+// Danger: what an executor must fetch for each txn jams the store for all, and the jam feeds itself.
 func (d *Dispatcher) homes(t *Txn, roam bool) []*Executor {
 	count := leastHomes + int(math.Round(float64(d.keys[t.Key]-1)/float64(d.counted)*float64(len(d.fleet))))
 	d.near = d.near[:0]
@@ -549,9 +470,12 @@
 	if len(d.near) == 0 {
 		return d.fleet
 	}
-	return least(d.near, count)
+	slices.SortFunc(d.near, byWait)
+	return d.near[:min(count, len(d.near))]
 }
 
+func byWait(a, b *Executor) int { return cmp.Compare(a.wait, b.wait) }
+
 // count adds a txn to those about one thing.
 func (d *Dispatcher) count(t *Txn) {
 	if d.counted++; d.counted > keyCounts {
@@ -579,7 +503,7 @@
 }
 
 // judge looks after a while at a posting that is still out.
-// Danger: a node that stood still finds alarms and notes all at once; its own lateness looks like its executors'.
+// Danger: a node that stood still finds alarms and notes at once; its lateness looks like its executors'.
 func (d *Dispatcher) judge(p *Posting, after int64, then func()) {
 	due := d.now + after + d.patience()
 	d.door.Alarm(after, func() {
@@ -594,7 +518,7 @@
 	})
 }
 
-// watch sees to a posting's end once it runs, and before that, where executors tell, to its start.
+// watch sees to a posting's start, where executors tell of it, and then to its end.
 func (d *Dispatcher) watch(p *Posting) {
 	if p.started > 0 || !d.terms.TellsStart {
 		d.awaitEnd(p, d.terms.Tick)
@@ -642,13 +566,12 @@
 	d.judge(p, wait, func() { d.awaitEnd(p, 2*wait) })
 }
 
-// copy sends the txn of a late posting to a second executor that has room for it. Where copies are not allowed it
-// takes the posting back instead, and the txn goes again where its scheme lets it.
+// copy sends a late posting's txn to a second executor, or takes it back to go again where that is forbidden.
 func (d *Dispatcher) copy(p *Posting) {
 	t, left := p.Txn, d.terms.MostPostings-len(p.Txn.Postings)
 	if !d.terms.MayDuplicate {
-		// Danger: what is taken back may run all the same and fills the fleet with work for nobody. Who stands still
-		// does none of it; else only a list that tells of load promises more room elsewhere.
+		// Danger: what is taken back may run all the same, for nobody. Who stands still runs none of it; a list
+		// that tells of load promises room elsewhere.
 		late := d.terms.Live && d.now-p.sent >= d.slack(t, p.sent)/4
 		if left > 0 && !d.spanOver(t) && (p.started > 0 || late || d.health(p.Executor) < hopeless) {
 			d.withdraw(p)
@@ -857,16 +780,15 @@
 // earns is the billing value a slot and second to be expected of a waiting txn; 0: give it up now.
 func (d *Dispatcher) earns(t *Txn) float64 {
 	late := t.Scheme.LateValue
-	part, atOnce := late+(1-late)*d.onTime(t, d.now), late+(1-late)*d.onTime(t, t.arrived)
+	part, atOnce, age := late+(1-late)*d.onTime(t, d.now), late+(1-late)*d.onTime(t, t.arrived), d.now-t.arrived
 	// Danger: hints that are off make the best of chances look slim. It is the wait that takes a txn's hope.
-	if part < hopeless*atOnce || d.now+d.running(t, lowEnd) >= t.Expiry || d.now-t.arrived > 2*(t.aim-t.arrived) {
+	if part < hopeless*atOnce || d.now+d.running(t, lowEnd) >= t.Expiry || age > 2*(t.aim-t.arrived) {
 		return 0
 	}
 	return part * t.value / t.size * d.favour(t.Scheme)
 }
 
-// onTime is the chance that a txn started then ends within its SLA time. Without a hint only a long job, whose
-// SLA time is stretched, makes up for its wait; with one a fast executor does.
+// onTime is the chance that a txn started then ends in time; without a hint only long jobs make up for waits.
 func (d *Dispatcher) onTime(t *Txn, at int64) float64 {
 	room, runs := float64(t.arrived+t.Scheme.SlaTime-at), &d.runs[t.Scheme.Index]
 	if t.Hint > 0 {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -670,7 +670,7 @@
 }
 
 // TestTakenRoomIsTold: reports are late, and what this node or another took since is not in them. A txn that found no
-// room at first tells the others what it took; odd bytes, unknown executors and words long past change nothing.
+// room at first tells the others what it took; words long past change nothing.
 func TestTakenRoomIsTold(t *testing.T) {
 	terms := basicTerms()
 	terms.Probes, terms.MayTell = true, true
@@ -698,10 +698,7 @@
 		t.Fatalf("%d postings, %d told", len(second.Postings), len(w.told))
 	}
 	other, e := start()
-	for _, odd := range [][]byte{nil, {}, {9}, make([]byte, 5), make([]byte, 300)} {
-		other.d.Heard(odd)
-	}
-	other.d.Heard(w.told[0])
+	other.d.Taken(e, w.told[0])
 	held := other.arrive(0, 1, 1e9, 9e9)
 	if other.d.Probed(e, true, 1, 9); len(held.Postings) > 0 {
 		t.Error("a slot that another node told it has taken is taken again")
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -64,9 +64,9 @@
 func (n *herdNode) Reverse(t *Txn) {
 	n.tell(judge.Event{Kind: judge.Answered, Txn: t.Tag, Result: "reversed"})
 }
-func (n *herdNode) Watch(bool)      {}
-func (n *herdNode) Tell([]byte)     {}
-func (n *herdNode) Probe(*Executor) {}
+func (n *herdNode) Watch(bool)              {}
+func (n *herdNode) Tell(*Executor, float64) {}
+func (n *herdNode) Probe(*Executor)         {}
 func (n *herdNode) Alarm(after int64, then func()) (forget func()) {
 	a := &alarm{n.now + max(after, 1), then}
 	n.alarms = append(n.alarms, a)
--- a/dispatch/helpers_test.go
+++ b/dispatch/helpers_test.go
@@ -3,7 +3,6 @@
 package dispatch
 
 import (
-	"encoding/binary"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -24,7 +23,7 @@
 	mayRun   map[*Posting]bool // not proved unrun
 	sentAt   map[*Posting]int64
 	withdraw int
-	told     [][]byte
+	told     []float64
 	probes   []*Executor // without an answer
 	fleet    []*Member
 	stopped  map[*Executor]bool // told that it drains or is gone
@@ -160,10 +159,10 @@
 	}
 }
 
-func (w *world) Reverse(t *Txn)    { w.final(t) }
-func (w *world) Watch(bool)        {}
-func (w *world) Tell(m []byte)     { w.told = append(w.told, m) }
-func (w *world) Probe(e *Executor) { w.probes = append(w.probes, e) }
+func (w *world) Reverse(t *Txn)                  { w.final(t) }
+func (w *world) Watch(bool)                      {}
+func (w *world) Tell(_ *Executor, slots float64) { w.told = append(w.told, slots) }
+func (w *world) Probe(e *Executor)               { w.probes = append(w.probes, e) }
 func (w *world) Alarm(after int64, then func()) (forget func()) {
 	a := &alarm{w.now + max(after, 1), then}
 	w.alarms = append(w.alarms, a)
@@ -244,12 +243,8 @@
 		e := w.probes[i]
 		w.probes = slices.Delete(w.probes, i, i+1)
 		w.d.Probed(e, w.IntN(3) > 0, float64(w.IntN(3)), float64(w.IntN(3)))
-	case n == 18:
-		message := make([]byte, w.IntN(7))
-		if len(w.fleet) > 0 {
-			message = binary.BigEndian.AppendUint32(message[:w.IntN(len(message)+1)], uint32(w.fleet[0].Executor.Mark))
-		}
-		w.d.Heard(message)
+	case n == 18 && len(w.fleet) > 0:
+		w.d.Taken(w.fleet[w.IntN(len(w.fleet))].Executor, float64(w.IntN(300)))
 	case n == 16:
 		w.d.ListFailed()
 	default:
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -2,7 +2,10 @@
 
 package dispatch
 
-import "hash/fnv"
+import (
+	"hash/fnv"
+	"math"
+)
 
 // Effect says what a repeat of a txn does.
 type Effect int
@@ -117,7 +120,7 @@
 	Alarm(after int64, then func()) (forget func())
 	Watch(on bool)
 	Probe(e *Executor)
-	Tell(message []byte) // all other nodes
+	Tell(e *Executor, slots float64) // all other nodes of slots taken
 }
 
 // Txn is one job taken from a client, owed exactly one final answer.
@@ -205,6 +208,13 @@
 	at            int64
 }
 
+// fade lets what is old count less and less.
+func (l *ledger) fade(now int64) *ledger {
+	f := math.Exp(-float64(now-l.at) / recovery)
+	l.asked, l.earned, l.at = l.asked*f, l.earned*f, now
+	return l
+}
+
 // last is how a recent job of one scheme and slot count went at one executor.
 type last struct {
 	at   *Executor
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -118,7 +118,7 @@
 	n.watch <- on
 }
 
-func (n *Node) Tell([]byte) {}
+func (n *Node) Tell(*dispatch.Executor, float64) {}
 
 func (n *Node) Probe(e *dispatch.Executor) {}
 
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"cmp"
 	"encoding/base64"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"math"
@@ -73,6 +74,7 @@
 	free      string // the value of load reports that tells free slots
 	memory    string // and free memory; empty: none does
 	executors map[string]*dispatch.Executor
+	marks     map[uint32]*dispatch.Executor // the same, as nodes name them to one another
 	txns      map[string]*dispatch.Txn
 	alarms    map[int64]func()
 	token     int64
@@ -185,12 +187,8 @@
 				then()
 			}
 		},
-		"PROBED": (*node).probed,
-		"WHISPER": func(n *node, f *fields) {
-			if message, err := base64.StdEncoding.DecodeString(f.text("Content")); err == nil && f.err == nil {
-				n.module.Heard(message)
-			}
-		},
+		"PROBED":  (*node).probed,
+		"WHISPER": (*node).whisper,
 		// The module uses no streams.
 		"ACK_FIRST": func(n *node, f *fields) {},
 	}
@@ -204,6 +202,7 @@
 		return
 	}
 	n.executors, n.txns, n.alarms = map[string]*dispatch.Executor{}, map[string]*dispatch.Txn{}, map[int64]func(){}
+	n.marks = map[uint32]*dispatch.Executor{}
 	n.terms, n.free, n.memory = terms, config.Value(f.find, "free slots"), ""
 	if _, counts := f.find("Extra.MemoryUnit"); counts {
 		n.memory = config.Value(f.find, "free memory")
@@ -241,7 +240,7 @@
 	e := n.executors[tag]
 	if e == nil {
 		e = &dispatch.Executor{Tag: tag, Mark: dispatch.Mark(tag)}
-		n.executors[tag] = e
+		n.executors[tag], n.marks[uint32(e.Mark)] = e, e
 	}
 	m := dispatch.Member{Executor: e, Zone: int(f.wholeOr("Zone", 0)), Kind: int(f.wholeOr("ClassOfHost", 0)),
 		Cell: int(f.wholeOr("UnitGroup", 0)), Since: f.wholeOr("OnlineSince", 0),
@@ -267,6 +266,7 @@
 	for tag, e := range n.executors {
 		if e.State == dispatch.Gone {
 			delete(n.executors, tag)
+			delete(n.marks, uint32(e.Mark))
 		}
 	}
 }
@@ -324,6 +324,18 @@
 	n.module.Probed(e, told, free, memory)
 }
 
+// whisper hears what another node took. Danger: odd bytes, or an executor that this node's own list has not named; both
+// are passed over.
+func (n *node) whisper(f *fields) {
+	message, err := base64.StdEncoding.DecodeString(f.text("Content"))
+	if err != nil || len(message) != 5 {
+		return
+	}
+	if e := n.marks[binary.BigEndian.Uint32(message[1:])]; e != nil {
+		n.module.Taken(e, float64(message[0]))
+	}
+}
+
 func (n *node) note(f *fields) {
 	p, topic := n.posting(f), f.whole("Topic")
 	if p == nil || !p.Open || f.err != nil {
@@ -398,7 +410,9 @@
 
 func (n *node) Probe(e *dispatch.Executor) { n.say("SOUND_OUT", "Executor", e.Tag) }
 
-func (n *node) Tell(message []byte) {
+// Tell sends what was taken in five bytes: slots and the executor's mark.
+func (n *node) Tell(e *dispatch.Executor, slots float64) {
+	message := binary.BigEndian.AppendUint32([]byte{byte(min(max(slots, 0), 255))}, uint32(e.Mark))
 	n.say("SHARE", "Recipient", "*", "Content", base64.StdEncoding.EncodeToString(message))
 }
 
