--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -36,7 +36,6 @@
 	turns      = 4    // parts of a fall window in which nodes take turns at the cold; a fifth is lost
 	dear       = 0.02 // price of a crossing from which home goes first; under it a late answer costs more
 	leave      = 0.5  // factor on executors of a kind that other schemes need, which can go nowhere else
-	reportAge  = 4e8  // ns; for which what was taken is not in reports yet; a few reports a second are usual
 	leastHomes = 2    // executors for txns about one thing; the second for when the first is full
 	asks       = 4    // executors asked for room at a time; with one in two full, one in sixteen finds none
 	askAgain   = 1e8  // ns; that word of room counts, and until others are asked; some reports a second
@@ -50,18 +49,17 @@
 	terms            *Terms
 	door             Door
 	born, now        int64
-	failed           int // calls for the list since one succeeded
+	failed, counted  int // calls for the list since one succeeded; txns counted in keys
 	chance           *rand.Rand
 	fleet            []*Executor
 	queue            []*Txn
 	recent           map[family][]last
-	runs             []spread       // by scheme: running time over hint, or in seconds where there is no hint
-	works            spread         // size of txns, in seconds
-	prompt           int64          // least time seen from sending to the note of the start; 0: none seen
-	models           map[int]*model // by kind of machine
-	drawn, near      []*Executor    // scratch space of draw and homes
-	keys             map[uint64]int // txns by what they are about, of counted ones
-	counted          int
+	runs             []spread         // by scheme: running time over hint, or in seconds where there is no hint
+	works            spread           // size of txns, in seconds
+	prompt           int64            // least time seen from sending to the note of the start; 0: none seen
+	models           map[int]*model   // by kind of machine
+	drawn, near      []*Executor      // scratch space of draw and homes
+	keys             map[uint64]int   // of these txns, by what they are about
 	toldAt           int64            // when an executor last told of its room
 	tenants, schemes []ledger         // arrivals, and billing value
 	busy             float64          // slots of all open postings
@@ -102,8 +100,7 @@
 		}
 		// Danger: of many nodes each sees next to nothing of load; the draw alone fills the small and the slow.
 		if e.left = 1; d.terms.Live {
-			e.left = max(m.Units, 0.01)
-			e.size = max(e.size, e.left)
+			e.left, e.size = max(m.Units, 0.01), max(m.Units, e.size)
 		}
 		e.known, e.State, e.since, e.model = true, m.State, m.Since, d.models[m.Kind]
 		e.zone, e.kind, e.cell = m.Zone, m.Kind, m.Cell
@@ -202,13 +199,11 @@
 	if t.Over || t.live > 0 {
 		return
 	}
-	if len(t.Postings) >= d.terms.MostPostings || anchor(t) != nil && d.spanOver(t) {
-		d.finish(t)
-		return
-	}
 	// Danger: executors that never answer probes. What has heard nothing for some rounds goes out blindly.
 	asking := d.terms.Probes && !d.terms.Live && (t.rounds < asks || d.toldAt >= t.arrived)
-	if drawn := d.draw(t, asks); len(drawn) == 0 {
+	if len(t.Postings) >= d.terms.MostPostings || anchor(t) != nil && d.spanOver(t) {
+		d.finish(t)
+	} else if drawn := d.draw(t, asks); len(drawn) == 0 {
 		d.enqueue(t)
 	} else if asking {
 		d.ask(t, drawn)
@@ -243,7 +238,7 @@
 		d.toldAt = d.now
 	}
 	for _, c := range e.claims {
-		if d.now-c.at <= reportAge {
+		if d.now-c.at <= 4*askAgain {
 			e.free -= c.work
 		}
 	}
@@ -263,7 +258,7 @@
 
 // Taken notes slots that this or another node took at an executor, for as long as reports may lack them.
 func (d *Dispatcher) Taken(e *Executor, slots float64) {
-	old := func(c charge) bool { return d.now-c.at > reportAge }
+	old := func(c charge) bool { return d.now-c.at > 4*askAgain }
 	e.claims = append(slices.DeleteFunc(e.claims, old), charge{d.now, slots})
 	e.free -= slots
 }
@@ -378,8 +373,7 @@
 // waits says whether the executor is passed over: it has refused one, or kept this node waiting lately.
 func (d *Dispatcher) waits(e *Executor, run int64) bool {
 	// Danger: one posting from each of many nodes fills a small machine. A limit under one is a pause.
-	pause := (1/min(e.limit, 1) - 1) * float64(run)
-	return e.busy == 0 && float64(d.now-e.idleAt) < pause
+	return e.busy == 0 && float64(d.now-e.idleAt) < (1/min(e.limit, 1)-1)*float64(run)
 }
 
 // patience is how long the note of a start is waited for.
@@ -406,7 +400,7 @@
 }
 
 // draw picks executors by chance and weight, idle and prompt ones before uncrowded ones before any with room,
-// home first where crossing is dear. The least of waits drawn at rates of weights is a draw in proportion to them.
+// home first where crossing is dear. The least of waits drawn at rates of weights is a draw by weight.
 func (d *Dispatcher) draw(t *Txn, count int) []*Executor {
 	run, fleet, well, mean := d.running(t, 0.5), d.fleet, false, d.busy/float64(len(d.fleet))
 	// Danger: a zone with more traffic than its machines can carry drowns while others idle.
@@ -507,12 +501,11 @@
 func (d *Dispatcher) judge(p *Posting, after int64, then func()) {
 	due := d.now + after + d.patience()
 	d.door.Alarm(after, func() {
-		if !p.Open || p.Txn.Over {
-			return
-		}
-		if d.now > due {
+		switch {
+		case !p.Open || p.Txn.Over:
+		case d.now > due:
 			d.judge(p, d.terms.Tick, then)
-		} else {
+		default:
 			then()
 		}
 	})
@@ -538,15 +531,14 @@
 // awaitStart decides what becomes of a posting that waits at its executor.
 func (d *Dispatcher) awaitStart(p *Posting) {
 	wait, s := d.slack(p.Txn, d.now)/2, p.Txn.Scheme
-	if p.started > 0 {
+	switch {
+	case p.started > 0:
 		return
-	}
 	// Danger: what is declined here may run all the same and comes back as a retry, so that a jam never ends.
-	if s.Effect == Repeatable && s.LateValue == 0 && d.earns(p.Txn) <= 0 {
+	case s.Effect == Repeatable && s.LateValue == 0 && d.earns(p.Txn) <= 0:
 		d.finish(p.Txn)
 		return
-	}
-	if !d.terms.Reports || wait <= d.patience() {
+	case !d.terms.Reports || wait <= d.patience():
 		d.copy(p)
 		wait = max((d.now-p.sent)/2, d.patience())
 	}
@@ -579,12 +571,9 @@
 		return
 	}
 	// Danger: copies in a full fleet take the room of txns that wait for it, here or at many other nodes.
-	if len(d.queue) > 0 || left <= 0 || t.live > 1 {
-		return
-	}
 	for _, e := range d.draw(t, 1) {
 		hit, gain := d.prompts(e.zone == d.terms.Zone), 1-t.Scheme.LateValue+d.terms.Missed
-		if hit*gain >= (1-hit)*behind {
+		if len(d.queue) == 0 && left > 0 && t.live <= 1 && hit*gain >= (1-hit)*behind {
 			d.post(t, e)
 		}
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -692,7 +692,7 @@
 	if len(second.Postings) > 0 {
 		t.Fatal("the slot that this node has just taken is taken again")
 	}
-	w.pass(reportAge + 2*askAgain)
+	w.pass(6 * askAgain)
 	w.d.Probed(e, true, 1, 9)
 	if len(second.Postings) != 1 || len(w.told) != 1 {
 		t.Fatalf("%d postings, %d told", len(second.Postings), len(w.told))
@@ -703,7 +703,7 @@
 	if other.d.Probed(e, true, 1, 9); len(held.Postings) > 0 {
 		t.Error("a slot that another node told it has taken is taken again")
 	}
-	other.pass(reportAge + 2*askAgain)
+	other.pass(6 * askAgain)
 	if other.d.Probed(e, true, 1, 9); len(held.Postings) != 1 {
 		t.Error("what was told once counts for ever")
 	}
