--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -53,11 +53,7 @@
 	runtime.GOMAXPROCS(max(int(math.Ceil(c.Cores)), 1))
 	debug.SetMemoryLimit(int64(memoryPart * float64(c.Memory)))
 
-	descriptors := transport.NewDescriptors(c.Sockets)
-	node := routing.New(c.Terms, c.Seed, c.Known, transport.NewExecutors(descriptors, c.Dial, c.Idle, c.Free),
-		transport.NewDiscovery(c.Discovery, c.Names), log)
-	server := transport.NewServer(descriptors, c.Names, node.Serve, node.Ready, log)
-
+	node, server := wire(c, log)
 	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	follow, cancel := context.WithCancel(context.Background())
@@ -73,6 +69,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Unheard {
+		log.Warn().Str("key", "settings.Limits.MayTell").Msg("messages between nodes have no protocol here: none are sent")
+	}
 	log.Info().Str("listen", c.Listen).Int("executors", len(c.Known.Entries)).Msg("node serves")
 	select {
 	case err := <-ended:
@@ -88,6 +87,14 @@
 	return nil
 }
 
+// wire puts a node together.
+func wire(c *config.Node, log zerolog.Logger) (*routing.Node, *transport.Server) {
+	descriptors := transport.NewDescriptors(c.Sockets)
+	node := routing.New(c.Terms, c.Seed, c.Known, transport.NewExecutors(descriptors, c.Dial, c.Idle, c.Values),
+		c.Probe, transport.NewDiscovery(c.Discovery, c.Names), log)
+	return node, transport.NewServer(descriptors, c.Names, node.Serve, node.Ready, log)
+}
+
 // reload reads the file again and turns to the discovery that it names. All else goes on as it is.
 func reload(c *config.Node, node *routing.Node, log zerolog.Logger) {
 	now, left, err := c.Reload(os.Getenv)
--- /dev/null
+++ b/cmd/fernrail/move_test.go
@@ -0,0 +1,328 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fernrail/internal/config"
+)
+
+// The settings that both kinds of nodes have, and what sets them apart.
+const (
+	common = `"Tick":5000000,"ReplicasOfMe":4,"Me":%d,"MyZone":%d,"Dcs":["a","b"],"Skus":["m","n"],"BillingValueBasis":"request",
+"Extra":{"TellsStart":true,"Progress":100000000,"ClassStretch":[2,2,2],"ReportX0":"free slots"%s},
+"Prices":{"CrossZone":0.1},"Rules":{"AskWithin":8000000000,"Cold":1000000000,"ColdShare":0.5,"Fall":500000000,"FallMultiple":4},
+"Schemes":[{"Name":"look","SlaTime":300000000,"Expiry":3000000000,"BillingValue":1,"LateBillingValue":0.5,"Idempotency":"idempotent"},
+{"Name":"save","SlaTime":300000000,"Expiry":3000000000,"BillingValue":2,"LateBillingValue":0.5,"Idempotency":"deduplicated","Group":"zone","MemorySpan":2500000000},
+{"Name":"book","SlaTime":300000000,"Expiry":3000000000,"BillingValue":4,"LateBillingValue":0.5,"Idempotency":"at_most_once"}]`
+	oldShape = `"Discovery":"automatic","Weights":"rough","Report":{"Source":"piggyback","Fields":["x0"]},
+"Limits":{"MayCancel":true,"MayDuplicate":true,"MostPostings":4,"RetryAfter":true,"MaxRetryAfter":2000000000,"DialTimeout":250000000,"IdleClose":10000000000},`
+	newShape = `"Discovery":"subscribe","Weights":"%s","Report":{"Source":"pull","Fields":["x0","x1"]},
+"Limits":{"MayCancel":true,"MayDuplicate":false,"MayProbe":true,"MayTell":true,"MostPostings":4,"RetryAfter":true,"MaxRetryAfter":2000000000,"DialTimeout":250000000,"IdleClose":10000000000},`
+)
+
+// fleet stands in for executors and discovery: it runs what is posted and holds it against the rules.
+type fleet struct {
+	*testing.T
+	mu      sync.Mutex
+	workers []*worker
+	changed chan struct{} // closed when the list changes
+	version int
+	out     map[string][]posted // by txn: what is out, or was
+	effects map[string]int      // once-only and referenced txns: how often their effect came about
+	single  map[string]bool     // txns of nodes that may not have two postings out
+}
+
+// posted is one posting as its worker sees it.
+type posted struct {
+	over <-chan struct{} // closed once it has ended or its connection has
+	end  func()
+}
+
+type worker struct {
+	*fleet
+	name    string
+	zone    int
+	server  *httptest.Server
+	slots   chan struct{}
+	hung    bool
+	drained time.Time       // when discovery told of it; zero: it does not drain
+	marks   map[string]bool // referenced txns that its zone has run
+}
+
+const (
+	slots = 3
+	span  = 4 * time.Millisecond // of a job
+	grace = 250*time.Millisecond + 50*time.Millisecond
+)
+
+func newFleet(t *testing.T, workers int) *fleet {
+	f := &fleet{T: t, changed: make(chan struct{}), version: 1, out: map[string][]posted{}, effects: map[string]int{},
+		single: map[string]bool{}}
+	marks := [2]map[string]bool{{}, {}}
+	for i := range workers {
+		w := &worker{fleet: f, name: fmt.Sprint("w", i), zone: i % 2, slots: make(chan struct{}, slots), marks: marks[i%2]}
+		w.server = httptest.NewServer(w)
+		f.workers = append(f.workers, w)
+		t.Cleanup(func() {
+			w.server.CloseClientConnections()
+			w.server.Close()
+		})
+	}
+	return f
+}
+
+func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/-/load" {
+		free := slots - len(w.slots)
+		fmt.Fprintf(out, `{"x0":%d,"x1":%d}`, free, free)
+		return
+	}
+	io.Copy(io.Discard, r.Body)
+	id, over := r.Header.Get("X-Call-Id"), make(chan struct{})
+	mine := posted{over, sync.OnceFunc(func() { close(over) })}
+	defer mine.end()
+	context.AfterFunc(r.Context(), mine.end)
+	w.mu.Lock()
+	earlier, drained := w.out[id], w.drained
+	w.out[id] = append(earlier, mine)
+	single := w.single[id]
+	w.mu.Unlock()
+	if !drained.IsZero() && time.Since(drained) > grace {
+		w.Errorf("rule 3: %s was posted to %v after it was told to drain", id, time.Since(drained))
+	}
+	// The node closes a connection before it posts again; here that may show a little later.
+	for _, p := range earlier {
+		if !single {
+			break
+		}
+		select {
+		case <-p.over:
+		case <-time.After(2 * time.Second):
+			w.Errorf("rule 2: %s is out twice", id)
+		}
+	}
+	say := func(text string) {
+		fmt.Fprintf(out, `{"id":%q,"from":%q,%s}`+"\n", id, w.name, text)
+		out.(http.Flusher).Flush()
+	}
+	select {
+	case w.slots <- struct{}{}:
+		defer func() { <-w.slots }()
+	case <-r.Context().Done():
+		return
+	}
+	say(`"state":"started"`)
+	w.mu.Lock()
+	if class := r.Header.Get("X-Call-Class"); class == "book" || class == "save" && !w.marks[id] {
+		w.effects[id]++
+		w.marks[id] = true
+	}
+	hung := w.hung
+	w.mu.Unlock()
+	work := time.NewTimer(span)
+	defer work.Stop()
+	if hung {
+		work.Stop()
+	}
+	select {
+	case <-work.C:
+		say(`"state":"done","result":"r","load":{"x0":1}`)
+	case <-r.Context().Done():
+	}
+}
+
+// known is the whole list as it is now.
+func (f *fleet) known() string {
+	r := httptest.NewRecorder()
+	f.list(r, httptest.NewRequest("GET", "/api/targets", nil))
+	return r.Body.String()
+}
+
+// list answers for discovery.
+func (f *fleet) list(out http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	changed, newer := f.changed, r.URL.Query().Get("since") != fmt.Sprint(f.version)
+	f.mu.Unlock()
+	if !newer {
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var servers []map[string]any
+	for _, w := range f.workers {
+		state := "Ready"
+		if !w.drained.IsZero() {
+			state = "Terminating"
+		}
+		servers = append(servers, map[string]any{"id": w.name, "addr": w.server.Listener.Addr().String(), "zone": string(rune('a' + w.zone)),
+			"kind": "m", "state": state, "weight": slots / (1 + float64(len(w.slots))/slots), "started_ms": 0})
+	}
+	json.NewEncoder(out).Encode(map[string]any{"version": f.version, "full": true, "servers": servers})
+}
+
+// drain tells of a worker that takes nothing new.
+func (f *fleet) drain(w *worker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w.drained = time.Now()
+	f.version++
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// start runs a node of the shape, wired as the program does, and gives its address.
+func (f *fleet) start(me int, shape, extra, discovery string) string {
+	f.Helper()
+	text := fmt.Sprintf(`{"name":"n%d","listen":"127.0.0.1:0","discovery":%q,"seed":"%d","limits":{"sockets":200},"known":%s,"settings":{%s%s}}`,
+		me, discovery, me+1, f.known(), shape, fmt.Sprintf(common, me, me%2, extra))
+	path := filepath.Join(f.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		f.Fatal(err)
+	}
+	c, err := config.Load(func(v string) string { return map[string]string{"EDGE_CONFIG": path}[v] })
+	if err != nil {
+		f.Fatal(err)
+	}
+	node, server := wire(c, zerolog.Nop())
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.Fatal(err)
+	}
+	address := free.Addr().String()
+	free.Close()
+	if _, err := server.Open(address); err != nil {
+		f.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go node.Follow(ctx)
+	f.Cleanup(func() {
+		node.End(100 * time.Millisecond)
+		server.Stop(200 * time.Millisecond)
+		cancel()
+	})
+	return address
+}
+
+// tally is what the clients of one kind of node got.
+type tally struct {
+	settled, declined, failed int
+	slowest                   time.Duration
+}
+
+// TestBothKindsOfNodes: during a move nodes of the old shape (lists sent, reports with answers, copies allowed) and of the new
+// one (lists asked for, probes, live weights or none, no copies) work before the same executors, one of which hangs and one
+// drains. The four rules hold, and neither kind starves the other.
+// Danger: one kind that takes each free slot while the other asks for it, or that undoes what the other's rules forbid.
+func TestBothKindsOfNodes(t *testing.T) {
+	for _, weights := range []string{"live", "nominal"} {
+		t.Run(weights, func(t *testing.T) { bothKinds(t, weights) })
+	}
+}
+
+func bothKinds(t *testing.T, weights string) {
+	f := newFleet(t, 8)
+	discovery := httptest.NewServer(http.HandlerFunc(f.list))
+	t.Cleanup(func() {
+		discovery.CloseClientConnections()
+		discovery.Close()
+	})
+	place := strings.TrimPrefix(discovery.URL, "http://")
+	var nodes []string
+	for i := range 4 {
+		if shape := oldShape; i < 2 {
+			nodes = append(nodes, f.start(i, shape, "", place))
+		} else {
+			nodes = append(nodes, f.start(i, fmt.Sprintf(newShape, weights), `,"MemoryUnit":"one","ReportX1":"free memory"`, place))
+		}
+	}
+	var tallies [2]tally
+	var clients sync.WaitGroup
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+	defer client.CloseIdleConnections()
+	const each = 40
+	for c := range 16 {
+		clients.Go(func() {
+			kind := c % 4 / 2
+			for i := range each {
+				if c == 0 && i == each/3 {
+					f.drain(f.workers[5])
+				}
+				id, class := fmt.Sprintf("%d-%d", c, i), []string{"look", "save", "book", "look", "save"}[i%5]
+				f.mu.Lock()
+				f.single[id] = kind == 1
+				f.workers[2].hung = i > each/2
+				f.mu.Unlock()
+				request, err := http.NewRequest("POST", fmt.Sprintf("http://%s/%s?obj=%d", nodes[c%4], class, i%7), strings.NewReader("b"))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				request.Header = http.Header{"X-Call-Id": {id}, "X-Call-Class": {class}, "X-Budget-Ms": {"500"}, "X-Call-Info": {"slots=1,mem=0.5"}}
+				began := time.Now()
+				answer, err := client.Do(request)
+				if err != nil {
+					t.Errorf("rule 1: %s has no answer: %v", id, err)
+					continue
+				}
+				io.Copy(io.Discard, answer.Body)
+				answer.Body.Close()
+				took := time.Since(began)
+				f.mu.Lock()
+				if took > 500*time.Millisecond+grace {
+					t.Errorf("rule 1: %s was answered after %v", id, took)
+				}
+				if answer.StatusCode == 503 && f.effects[id] > 0 && class != "look" {
+					t.Errorf("rule 2: %s was declined and has had its effect", id)
+				}
+				own := &tallies[kind]
+				own.slowest = max(own.slowest, took)
+				switch answer.StatusCode {
+				case 200:
+					own.settled++
+				case 503:
+					own.declined++
+					if answer.Header.Get("Retry-After") == "" {
+						t.Errorf("%s was declined without advice", id)
+					}
+				default:
+					own.failed++
+				}
+				f.mu.Unlock()
+			}
+		})
+	}
+	clients.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, n := range f.effects {
+		if n > 1 {
+			t.Errorf("rule 2: %s has had its effect %d times", id, n)
+		}
+	}
+	for kind, own := range tallies {
+		t.Logf("kind %d: %+v", kind, own)
+		if own.settled < 8*each*8/10 {
+			t.Errorf("kind %d starves: %+v of %d", kind, own, 8*each)
+		}
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -38,7 +38,7 @@
 	leave      = 0.5  // factor on executors of a kind that other schemes need, which can go nowhere else
 	leastHomes = 2    // executors for txns about one thing; the second for when the first is full
 	asks       = 4    // executors asked for room at a time; with one in two full, one in sixteen finds none
-	askAgain   = 1e8  // ns; that word of room counts, and until others are asked; some reports a second
+	askAgain   = 1e8  // ns, at most; that word of room counts, and until others are asked; some reports a second
 	keyCounts  = 256  // txns after which counts by key are halved; tells a tenth of all from a hundredth
 )
 
@@ -60,7 +60,7 @@
 	models           map[int]*model   // by kind of machine
 	drawn, near      []*Executor      // scratch space of draw and homes
 	keys             map[uint64]int   // of these txns, by what they are about
-	toldAt           int64            // when an executor last told of its room
+	toldAt, fresh    int64            // when an executor last told of its room; how long that counts
 	tenants, schemes []ledger         // arrivals, and billing value
 	busy             float64          // slots of all open postings
 	pumped           bool             // an alarm to look at the queue is out
@@ -136,6 +136,8 @@
 	t.aim = min(d.now+t.Scheme.SlaTime+int64(t.Scheme.Stretch*float64(work)), t.Expiry)
 	t.size = max(t.Slots, 1) * float64(work)
 	d.works.add(t.size / 1e9)
+	// Danger: of jobs of milliseconds many begin and end while a word of room is still taken for news.
+	d.fresh = min(askAgain, int64(d.works.at(highEnd, 0)*1e9))
 	if t.value = t.Scheme.Value; d.terms.ByWork {
 		t.value *= t.size
 	}
@@ -223,7 +225,7 @@
 	}
 	t.rounds++
 	round := t.rounds
-	d.door.Alarm(int64(round)*askAgain, func() {
+	d.door.Alarm(int64(round)*d.fresh, func() {
 		if !t.Over && t.live == 0 && t.rounds == round {
 			d.enqueue(t)
 		}
@@ -238,13 +240,13 @@
 		d.toldAt = d.now
 	}
 	for _, c := range e.claims {
-		if d.now-c.at <= 4*askAgain {
+		if d.now-c.at <= 4*d.fresh {
 			e.free -= c.work
 		}
 	}
 	for _, t := range askers {
 		// Danger: an answer that comes late; the executor may be gone, and the txn out or over.
-		if !t.Over && t.live == 0 && !e.full(t, d.now) && d.allowed(t, e) &&
+		if !t.Over && t.live == 0 && !d.full(t, e) && d.allowed(t, e) &&
 			d.chance.Float64() < d.prompts(e.zone == d.terms.Zone) {
 			e.memory -= t.Memory
 			d.post(t, e)
@@ -258,14 +260,14 @@
 
 // Taken notes slots that this or another node took at an executor, for as long as reports may lack them.
 func (d *Dispatcher) Taken(e *Executor, slots float64) {
-	old := func(c charge) bool { return d.now-c.at > 4*askAgain }
+	old := func(c charge) bool { return d.now-c.at > 4*d.fresh }
 	e.claims = append(slices.DeleteFunc(e.claims, old), charge{d.now, slots})
 	e.free -= slots
 }
 
 // full says whether the executor told lately that the txn finds no room there.
-func (e *Executor) full(t *Txn, now int64) bool {
-	return e.toldAt > 0 && now-e.toldAt < askAgain && (e.free < t.Slots || e.memory < t.Memory)
+func (d *Dispatcher) full(t *Txn, e *Executor) bool {
+	return e.toldAt > 0 && d.now-e.toldAt < d.fresh && (e.free < t.Slots || e.memory < t.Memory)
 }
 
 // anchor is the first posting that may have run or still may.
@@ -418,7 +420,7 @@
 		if !sick && !well {
 			well, d.drawn = true, d.drawn[:0]
 		}
-		if e.busy > 0 && e.busy+t.Slots > e.limit || e.full(t, d.now) || d.waits(e, run) {
+		if e.busy > 0 && e.busy+t.Slots > e.limit || d.full(t, e) || d.waits(e, run) {
 			continue
 		}
 		// One that was prompt and has a connection open still is likelier to have room, without a handshake.
@@ -699,8 +701,7 @@
 	}
 	d.Left(t)
 	// Danger: a decline tells the client that trying again is harmless; where it might not be, reverse.
-	s := t.Scheme
-	if s.Effect == Repeatable || anchor(t) == nil || s.Effect == Referenced && s.Reach == ReachAll {
+	if e := t.Scheme.Effect; anchor(t) == nil || e == Repeatable || e != OnceOnly && t.Scheme.Reach == ReachAll {
 		d.door.Decline(t, d.terms.MaxReturn)
 	} else {
 		d.door.Reverse(t)
@@ -732,13 +733,12 @@
 
 // Settle ends a round of events: it places waiting txns, the worthiest first, or gives them up.
 func (d *Dispatcher) Settle() {
-	waiting := d.queue
+	waiting, stuck := d.queue, []family(nil)
 	d.queue = nil
 	for _, t := range waiting {
 		t.queued, t.earns = false, d.earns(t)
 	}
 	slices.SortStableFunc(waiting, func(a, b *Txn) int { return cmp.Compare(b.earns, a.earns) })
-	var stuck []family
 	for _, t := range waiting {
 		fresh, key := len(t.Postings) == 0, family{t.Scheme, t.Slots}
 		switch {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,7 +32,9 @@
 	Terms                   *dispatch.Terms
 	Dial                    time.Duration // for a connection to an executor to come up
 	Idle                    time.Duration // after which an executor closes an unused connection
-	Free                    string        // the value of load reports that tells free slots
+	Values                  protocol.Values
+	Probe                   time.Duration // how long the answer to a probe is waited for
+	Unheard                 bool          // the settings allow messages between nodes, for which sockets have no protocol
 	Longest                 time.Duration // expiry of the scheme that has the longest
 	Log                     zerolog.Level // the least that is logged; trace tells of each posting
 
@@ -43,8 +45,9 @@
 	defaultCores   = 1
 	defaultMemory  = 192 // MB
 	defaultSockets = 1024
-	leastMemory    = 8  // MB; under this the runtime alone does not fit
-	leastSockets   = 16 // descriptors; under this the standard files and the poller leave none for work
+	defaultProbe   = 500 // ms; a deep probe waits like a txn, and one that waits long tells that there is no room
+	leastMemory    = 8   // MB; under this the runtime alone does not fit
+	leastSockets   = 16  // descriptors; under this the standard files and the poller leave none for work
 )
 
 // Load reads the file that EDGE_CONFIG names. The other EDGE variables, where set, go before the file.
@@ -120,7 +123,9 @@
 		return nil, err
 	}
 	r := &reader{find: find}
-	n.Free = Value(find, "free slots")
+	n.Values = LoadValues(find)
+	// Messages have no page for sockets, and none is guessed: the module is told that there are none.
+	n.Unheard, n.Terms.MayTell = n.Terms.MayTell, false
 	n.Dial = time.Duration(r.whole("Limits.DialTimeout", 1e9, 1))
 	n.Idle = time.Duration(r.whole("Limits.IdleClose", 10e9, 0))
 	n.Names = &protocol.Names{Zones: r.list("Dcs"), Kinds: r.list("Skus")}
@@ -166,6 +171,7 @@
 	n.Listen, n.Discovery = address("EDGE_LISTEN", "listen"), address("EDGE_DISCOVERY", "discovery")
 	n.Cores = r.real("limits.cores", defaultCores)
 	n.Memory = r.whole("limits.memory_mb", defaultMemory, leastMemory) << 20
+	n.Probe = time.Duration(r.whole("limits.probe_ms", defaultProbe, 1)) * time.Millisecond
 	n.Sockets = int(r.whole("limits.sockets", defaultSockets, leastSockets))
 	if r.err != nil {
 		return r.err
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -28,7 +28,7 @@
 		t.Fatal(err)
 	}
 	if n.Name != "n1" || n.Seed != 0x8c1f || n.Cores != 0.5 || n.Memory != 192<<20 || n.Sockets != 1024 ||
-		n.Dial != 120*time.Millisecond || n.Idle != time.Minute || n.Longest != 5*time.Second || n.Free != "x1" {
+		n.Dial != 120*time.Millisecond || n.Idle != time.Minute || n.Longest != 5*time.Second || n.Values.Free != "x1" || n.Probe != 500*time.Millisecond {
 		t.Errorf("%+v", n)
 	}
 	if e := n.Known.Entries[0]; e.ID != "s-1" || e.Zone != 1 || e.Kind != 1 || e.Started != 12e6 {
@@ -65,6 +65,12 @@
 		{`[2.5,2.0]`, `[2.5,"x"]`, "Extra.ClassStretch: "},
 		{`"Share":0.25`, `"Share":"NaN"`, "Tenants.0.Share: "},
 		{`"DialTimeout":120000000`, `"DialTimeout":0`, "Limits.DialTimeout: "},
+		{`"Odd":true`, `"Weights":"heavy"`, "Weights: "},
+		{`"Odd":true`, `"Discovery":"guess"`, "Discovery: "},
+		{`"Odd":true`, `"Report":{"Source":"sometimes"}`, "Report.Source: "},
+		{`"MayCancel":true`, `"MayProbe":"perhaps"`, "Limits.MayProbe: "},
+		{`"MayCancel":true`, `"MayTell":3`, "Limits.MayTell: "},
+		{`"sockets":1024`, `"sockets":1024,"probe_ms":0`, "limits.probe_ms: "},
 		{`"state":"Ready"`, `"state":"Odd"`, "known: servers.0: unknown state"},
 	} {
 		text := strings.Replace(whole, c.from, c.to, 1)
@@ -83,3 +89,23 @@
 		t.Error(err)
 	}
 }
+
+// TestNewShape: what the settings of the new deployments say reaches the module; messages, which sockets have no protocol
+// for, do not. Without these keys nothing of it is on.
+func TestNewShape(t *testing.T) {
+	text := strings.NewReplacer(`"Odd":true`, `"Discovery":"subscribe","Weights":"live","Report":{"Source":"pull","Fields":["util","x0","x1"]}`,
+		`"MayCancel":true`, `"MayCancel":true,"MayProbe":true,"MayTell":true`, `"ReportX0":"free memory","ReportX1":"free slots"`,
+		`"MemoryUnit":"one a slot","ReportX0":"free slots","ReportX1":"free memory"`,
+		`"sockets":1024`, `"sockets":1024,"probe_ms":80`).Replace(whole)
+	n, err := parse([]byte(text), nothing)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if x := n.Terms; !x.Subscribe || !x.Live || !x.Probes || x.Reports || x.MayTell || x.MayDuplicate || !n.Unheard ||
+		n.Values.Free != "x0" || n.Values.Memory != "x1" || n.Probe != 80*time.Millisecond {
+		t.Errorf("%+v %+v", n, x)
+	}
+	if n, err = parse([]byte(whole), nothing); err != nil || n.Terms.Live || n.Terms.Probes || n.Terms.MayTell || n.Unheard || n.Terms.Subscribe {
+		t.Errorf("%+v %v", n.Terms, err)
+	}
+}
--- a/internal/config/terms.go
+++ b/internal/config/terms.go
@@ -5,12 +5,14 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
 	"strings"
 
 	"fernrail/dispatch"
+	"fernrail/internal/protocol"
 )
 
 // Find looks up a setting by its dotted name, such as Limits.IdleClose or Schemes.0.SlaTime.
@@ -30,7 +32,22 @@
 
 func (r *reader) word(key string) string { v, _ := r.find(key); return v }
 
-func (r *reader) flag(key string) bool { v := r.word(key); return v == "true" || v == "1" }
+func (r *reader) flag(key string) bool {
+	v := r.word(key)
+	if v != "" && v != "true" && v != "1" && v != "false" && v != "0" {
+		r.fail(key, v, "true or false")
+	}
+	return v == "true" || v == "1"
+}
+
+// choice reads a word out of a few; the first stands for absent.
+func (r *reader) choice(key string, words ...string) string {
+	v := r.word(key)
+	if v != "" && !slices.Contains(words, v) {
+		r.fail(key, v, "one of "+strings.Join(words, ", "))
+	}
+	return cmp.Or(v, words[0])
+}
 
 func (r *reader) real(key string, absent float64) float64 { return r.number(key, r.word(key), absent) }
 
@@ -67,14 +84,21 @@
 	return nil
 }
 
-// Value names the value of load reports that means the given thing, such as "free slots"; empty if none does.
-func Value(find Find, meaning string) string {
-	for _, name := range []string{"x0", "x1"} {
-		if v, _ := find("Extra.Report" + strings.ToUpper(name)); strings.ReplaceAll(v, "_", " ") == meaning {
-			return name
+// LoadValues names the values of load reports that tell free slots and, where jobs count memory, free memory.
+func LoadValues(find Find) (v protocol.Values) {
+	fields, _ := find("Report.Fields")
+	for _, name := range strings.Split(cmp.Or(fields, "x0,x1"), ",") {
+		meaning, _ := find("Extra.Report" + strings.ToUpper(name))
+		switch strings.ReplaceAll(meaning, "_", " ") {
+		case "free slots":
+			v.Free = name
+		case "free memory":
+			if _, counted := find("Extra.MemoryUnit"); counted {
+				v.Memory = name
+			}
 		}
 	}
-	return ""
+	return v
 }
 
 // Decode reads the settings that the module uses; what it does not know is skipped, what is absent gets the value
@@ -85,12 +109,11 @@
 	t := &dispatch.Terms{
 		Zone: int(r.whole("MyZone", 0, 0)), Nodes: int(r.whole("ReplicasOfMe", 1, 0)), Me: int(r.whole("Me", 0, 0)), Tick: r.whole("Tick", 1e6, 0),
 		ByWork: r.word("BillingValueBasis") == "work", OverValue: r.real("OverageBillingValue", 1),
-		Subscribe: r.word("Discovery") == "subscribe",
-		Live:      r.word("Weights") == "live",
-		Reports:   r.word("Report.Source") == "piggyback",
-		MayTell:   r.flag("Limits.MayTell"),
-		Probes: r.word("Report.Source") == "pull" && r.flag("Limits.MayProbe") &&
-			slices.Contains(r.list("Report.Fields"), Value(find, "free slots")),
+		Subscribe:  r.choice("Discovery", "automatic", "subscribe") == "subscribe",
+		Live:       r.choice("Weights", "silent", "nominal", "rough", "live") == "live",
+		Reports:    r.choice("Report.Source", "silent", "piggyback", "pull") == "piggyback",
+		MayTell:    r.flag("Limits.MayTell"),
+		Probes:     r.flag("Limits.MayProbe") && r.word("Report.Source") == "pull" && LoadValues(find).Free != "",
 		TellsStart: r.flag("Extra.TellsStart"), Progress: r.whole("Extra.Progress", 0, 0),
 		MostPostings: int(r.whole("Limits.MostPostings", 1, 0)),
 		MayCancel:    r.flag("Limits.MayCancel"), MayDuplicate: r.flag("Limits.MayDuplicate"),
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -24,7 +24,8 @@
 	ID, Address      string
 	State            dispatch.State
 	Zone, Kind, Cell int
-	Started          int64 // Unix time, ns; 0: long ago
+	Started          int64   // Unix time, ns; 0: long ago
+	Units            float64 // the list's weight; what it means is in the settings
 }
 
 // MaxList bounds the bytes of a list; some thousands of executors fit.
@@ -38,13 +39,14 @@
 		Version *int64 `json:"version"`
 		Full    *bool  `json:"full"`
 		Servers []struct {
-			ID      string `json:"id"`
-			Addr    string `json:"addr"`
-			Zone    string `json:"zone"`
-			Kind    string `json:"kind"`
-			Cell    int    `json:"cell"`
-			State   string `json:"state"`
-			Started int64  `json:"started_ms"`
+			ID      string   `json:"id"`
+			Addr    string   `json:"addr"`
+			Zone    string   `json:"zone"`
+			Kind    string   `json:"kind"`
+			Cell    int      `json:"cell"`
+			State   string   `json:"state"`
+			Weight  *float64 `json:"weight"`
+			Started int64    `json:"started_ms"`
 		} `json:"servers"`
 	}
 	if err := json.Unmarshal(text, &m); err != nil {
@@ -57,7 +59,10 @@
 	for i, s := range m.Servers {
 		state, known := listed[s.State]
 		e := Entry{ID: s.ID, Address: s.Addr, State: state, Zone: slices.Index(names.Zones, s.Zone),
-			Kind: slices.Index(names.Kinds, s.Kind), Cell: s.Cell, Started: s.Started * 1e6}
+			Kind: slices.Index(names.Kinds, s.Kind), Cell: s.Cell, Started: s.Started * 1e6, Units: 1}
+		if s.Weight != nil {
+			e.Units = *s.Weight
+		}
 		switch _, _, err := net.SplitHostPort(s.Addr); {
 		case s.ID == "":
 			return nil, fmt.Errorf("servers.%d: id is missing", i)
@@ -65,6 +70,8 @@
 			return nil, fmt.Errorf("servers.%d: unknown state %q", i, s.State)
 		case err != nil && state != dispatch.Gone:
 			return nil, fmt.Errorf("servers.%d: addr %q is not host:port", i, s.Addr)
+		case !(e.Units >= 0 && e.Units < mostSlots):
+			return nil, fmt.Errorf("servers.%d: weight %v is no size", i, e.Units)
 		case s.Started < 0 || s.Started > 1<<43:
 			return nil, fmt.Errorf("servers.%d: started_ms %d is no time", i, s.Started)
 		}
--- a/internal/protocol/executor.go
+++ b/internal/protocol/executor.go
@@ -9,9 +9,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"fernrail/dispatch"
@@ -115,6 +117,46 @@
 	return l, nil
 }
 
+// Values names the values of load reports that the module asks for; empty: none tells it.
+type Values struct {
+	Free, Memory string
+}
+
+// Load is what an executor told of its room when it was probed.
+type Load struct {
+	Free, Memory float64
+}
+
+// MaxLoad bounds the bytes of a load report.
+const MaxLoad = 4 << 10
+
+// ReadLoad decodes a load report, an object or name=value pairs. One without free slots, or with an absurd number, is a
+// fault; noise may tell of a little less than nothing, which is nothing. Memory that is not reported is no limit.
+func ReadLoad(text []byte, names Values) (Load, error) {
+	values := map[string]float64{}
+	if err := json.Unmarshal(text, &values); err != nil {
+		clear(values)
+		for pair := range strings.SplitSeq(string(text), ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+			if x, err := strconv.ParseFloat(value, 64); err == nil {
+				values[name] = x
+			}
+		}
+	}
+	l := Load{Memory: math.MaxFloat64}
+	for name, into := range map[string]*float64{names.Free: &l.Free, names.Memory: &l.Memory} {
+		if name == "" {
+			continue
+		}
+		x, told := values[name]
+		if !told || !(x > -mostSlots && x < mostSlots) {
+			return Load{}, fmt.Errorf("a load report without a usable %s", name)
+		}
+		*into = max(x, 0)
+	}
+	return l, nil
+}
+
 // End is how a posting ended.
 type End struct {
 	Outcome dispatch.Outcome
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -211,16 +211,62 @@
 	if err != nil || l.Version != 41 || !l.Full || len(l.Entries) != 3 {
 		t.Fatal(l, err)
 	}
-	first := Entry{ID: "s-1", Address: "10.0.0.1:7", Zone: 1, Cell: 3, Started: 17e17}
+	first := Entry{ID: "s-1", Address: "10.0.0.1:7", Zone: 1, Cell: 3, Started: 17e17, Units: 1.5}
 	if l.Entries[0] != first || l.Entries[1].State != dispatch.Draining || l.Entries[1].Zone != -1 ||
 		l.Entries[2].State != dispatch.Gone {
 		t.Errorf("%+v", l.Entries)
 	}
 	for _, c := range [][2]string{{`"version":41,`, ""}, {`"full":true,`, ""}, {`"servers":[`, `"server":[`},
-		{"Ready", "ready"}, {`"id":"s-1",`, ""}, {"10.0.0.1:7", "nowhere"}, {"1700000000000", "-5"},
+		{"Ready", "ready"}, {`"weight":1.5`, `"weight":-1`}, {`"weight":1.5`, `"weight":1e9`}, {`"id":"s-1",`, ""}, {"10.0.0.1:7", "nowhere"}, {"1700000000000", "-5"},
 		{"1700000000000", "9223372036854775807"}, {"]}", "]"}, {`"cell":3`, `"cell":"x"`}} {
 		if l, err := ReadList([]byte(strings.Replace(list, c[0], c[1], 1)), names); err == nil {
 			t.Errorf("%s for %s: %+v", c[1], c[0], l)
 		}
 	}
 }
+
+// TestLoad: an executor's room as probes bring it. Danger: noise tells of a little less than nothing, and what is absent or
+// absurd must not look like room.
+func TestLoad(t *testing.T) {
+	both := Values{Free: "x0", Memory: "x1"}
+	for text, want := range map[string]Load{
+		`{"x0":2,"x1":1.5,"util":0.5}`: {2, 1.5}, `{"x0":-0.01,"x1":0}`: {0, 0}, "x0=3, x1=4,util=0.2": {3, 4},
+	} {
+		if l, err := ReadLoad([]byte(text), both); err != nil || l != want {
+			t.Errorf("%s: %+v %v", text, l, err)
+		}
+	}
+	for _, text := range []string{"", "{}", `{"x0":2}`, `{"x0":1e99,"x1":1}`, `{"x0":"many","x1":1}`, "x0=NaN,x1=1", "<html>"} {
+		if l, err := ReadLoad([]byte(text), both); err == nil {
+			t.Errorf("%s: %+v", text, l)
+		}
+	}
+	if l, err := ReadLoad([]byte(`{"x0":2}`), Values{Free: "x0"}); err != nil || l.Memory < 1e9 {
+		t.Errorf("memory that is not counted: %+v %v", l, err)
+	}
+}
+
+// TestWhatATxnIsAbout comes from the query alone, the same at every node; memory is refused where it is no number.
+func TestWhatATxnIsAbout(t *testing.T) {
+	read := func(target, info string) (*Request, *Fault) {
+		r := httptest.NewRequest("POST", target, strings.NewReader("b"))
+		for name, value := range map[string]string{"X-Call-Id": "1", "X-Call-Class": names.Schemes[0], "X-Caller": names.Tenants[0],
+			"X-Budget-Ms": "100", "Content-Length": "1", "X-Call-Info": info} {
+			r.Header.Set(name, value)
+		}
+		return ReadRequest(r, names)
+	}
+	about := "/" + names.Schemes[0] + "?obj=7f3a"
+	one, fault := read(about, "mem=0.5,slots=2")
+	same, _ := read(about, "")
+	other, _ := read(about+"1", "")
+	none, _ := read("/"+names.Schemes[0], "")
+	if fault != nil || one.Key == 0 || one.Key >= 1<<53 || one.Key != same.Key || one.Key == other.Key || none.Key != 0 || one.Memory != 0.5 {
+		t.Errorf("%+v %+v %+v %+v %+v", one, same, other, none, fault)
+	}
+	for _, info := range []string{"mem=", "mem=-1", "mem=NaN", "mem=much"} {
+		if _, fault := read(about, info); fault == nil || fault.Status != 400 {
+			t.Errorf("%s is taken", info)
+		}
+	}
+}
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"fernrail/dispatch"
 )
 
 // MaxBody is how many bytes a body may hold, in either direction.
@@ -40,6 +42,8 @@
 	Tenant int
 	Budget time.Duration
 	Slots  float64
+	Memory float64     // units; 0: not told
+	Key    uint64      // what it is about, below 2^53; 0: not told
 	Hint   int64       // ns of work; 0: not told
 	Header http.Header // what goes on to the executor
 	Body   []byte
@@ -111,6 +115,14 @@
 				return nil, &Fault{http.StatusBadRequest, "X-Call-Info: slots is not a number above 0"}
 			}
 		}
+		if name == "mem" {
+			if q.Memory, err = strconv.ParseFloat(value, 64); err != nil || !(q.Memory >= 0 && q.Memory < 1e6) {
+				return nil, &Fault{http.StatusBadRequest, "X-Call-Info: mem is not a number of at least 0"}
+			}
+		}
+	}
+	if about := r.URL.Query().Get("obj"); about != "" {
+		q.Key = dispatch.Mark(about)>>11 | 1
 	}
 	if cost := r.Header.Get("X-Call-Cost"); cost != "" {
 		micros, err := strconv.ParseFloat(cost, 64)
--- a/internal/routing/life.go
+++ b/internal/routing/life.go
@@ -50,7 +50,7 @@
 		return &protocol.Answer{Status: http.StatusConflict}
 	}
 	l := &life{request: q, answer: make(chan *protocol.Answer, 1)}
-	t := &dispatch.Txn{Tag: q.ID, Tenant: q.Tenant, Slots: q.Slots, Hint: q.Hint, Scheme: n.terms.Schemes[q.Scheme]}
+	t := &dispatch.Txn{Tag: q.ID, Tenant: q.Tenant, Slots: q.Slots, Memory: q.Memory, Key: q.Key, Hint: q.Hint, Scheme: n.terms.Schemes[q.Scheme]}
 	err := n.event(func() {
 		t.Expiry = min(n.clock()+int64(q.Budget), n.till)
 		n.taken++
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -108,14 +108,14 @@
 	for _, e := range l.Entries {
 		m := n.members[e.ID]
 		if m == nil {
-			m = &member{executor: &dispatch.Executor{Tag: e.ID}}
+			m = &member{executor: &dispatch.Executor{Tag: e.ID, Mark: dispatch.Mark(e.ID)}}
 			n.members[e.ID] = m
 		}
 		if e.Address != "" {
 			m.address = e.Address
 		}
 		members = append(members, dispatch.Member{Executor: m.executor, State: e.State, Zone: e.Zone, Kind: e.Kind,
-			Cell: e.Cell, Since: e.Started})
+			Cell: e.Cell, Since: e.Started, Units: e.Units})
 	}
 	n.module.List(l.Full, members)
 	for id, m := range n.members {
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -22,6 +22,7 @@
 // Carrier takes postings to executors.
 type Carrier interface {
 	Do(ctx context.Context, job *protocol.Job, heard func(protocol.Line), ended func(protocol.End))
+	Probe(ctx context.Context, address string) (protocol.Load, error)
 }
 
 // Lister asks discovery.
@@ -33,7 +34,8 @@
 type Node struct {
 	terms   *dispatch.Terms
 	carrier Carrier
-	lister  Lister // Follow alone uses it
+	probe   time.Duration // how long the answer to a probe is waited for
+	lister  Lister        // Follow alone uses it
 	known   *protocol.List
 	turn    chan Lister // the latest new place to ask, at most one
 	log     zerolog.Logger
@@ -58,8 +60,8 @@
 }
 
 // New starts the module on the list as it was last known.
-func New(terms *dispatch.Terms, seed uint64, known *protocol.List, c Carrier, l Lister, log zerolog.Logger) *Node {
-	n := &Node{terms: terms, carrier: c, lister: l, known: known, log: log, start: time.Now(), till: math.MaxInt64, members: map[string]*member{},
+func New(terms *dispatch.Terms, seed uint64, known *protocol.List, c Carrier, probe time.Duration, l Lister, log zerolog.Logger) *Node {
+	n := &Node{terms: terms, carrier: c, probe: probe, lister: l, known: known, log: log, start: time.Now(), till: math.MaxInt64, members: map[string]*member{},
 		ids: [2]map[string]bool{{}, {}}, lives: map[*dispatch.Txn]*life{}, out: map[*dispatch.Posting]context.CancelFunc{}, watch: make(chan bool, 1), turn: make(chan Lister, 1)}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -118,9 +120,26 @@
 	n.watch <- on
 }
 
-func (n *Node) Tell(*dispatch.Executor, float64) {}
+// Probe asks an executor for its load. What does not come while the longest probe may last tells of no room.
+func (n *Node) Probe(e *dispatch.Executor) {
+	address := ""
+	if m := n.members[e.Tag]; m != nil {
+		address = m.address
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), n.probe)
+		defer cancel()
+		var load protocol.Load
+		var err error
+		if fault := n.guard(func() { load, err = n.carrier.Probe(ctx, address) }); fault != nil {
+			err = fault
+		}
+		n.event(func() { n.module.Probed(e, err == nil, load.Free, load.Memory) })
+	}()
+}
 
-func (n *Node) Probe(e *dispatch.Executor) {}
+// Tell implements dispatch.Door. The protocol has no messages between nodes, so the module is told that there are none.
+func (n *Node) Tell(*dispatch.Executor, float64) {}
 
 func (n *Node) Post(p *dispatch.Posting) {
 	till := p.Txn.Expiry
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -24,6 +24,8 @@
 type carrier struct {
 	mu     sync.Mutex
 	jobs   []*protocol.Job
+	probed []string
+	load   func(ctx context.Context, address string) (protocol.Load, error)
 	script func(ctx context.Context, nth int, job *protocol.Job, heard func(protocol.Line)) (dispatch.Outcome, string)
 }
 
@@ -37,6 +39,14 @@
 	ended(protocol.End{Outcome: o, Result: result})
 }
 
+// Probe is answered by load, after its delay.
+func (c *carrier) Probe(ctx context.Context, address string) (protocol.Load, error) {
+	c.mu.Lock()
+	c.probed = append(c.probed, address)
+	c.mu.Unlock()
+	return c.load(ctx, address)
+}
+
 func (c *carrier) sent() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -111,7 +121,7 @@
 func TestIdIsTakenOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &carrier{script: serves(15 * time.Second)}
-		n := New(terms(), 1, known("a", "b"), c, &lister{}, zerolog.Nop())
+		n := New(terms(), 1, known("a", "b"), c, time.Second, &lister{}, zerolog.Nop())
 		first := make(chan *protocol.Answer, 1)
 		go func() { first <- n.Serve(t.Context(), ask("j", 1, time.Minute)) }()
 		for at, want := range []int{409, 409, 409, 409, 409, 409, 200} {
@@ -131,7 +141,7 @@
 func TestLife(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &carrier{script: serves(50 * time.Millisecond)}
-		n := New(terms(), 1, known("a", "b"), c, &lister{}, zerolog.Nop())
+		n := New(terms(), 1, known("a", "b"), c, time.Second, &lister{}, zerolog.Nop())
 		if a := n.Serve(t.Context(), ask("j", 0, time.Second)); a == nil || a.Status != 200 || a.Body != "r" {
 			t.Fatalf("%+v", a)
 		}
@@ -150,7 +160,7 @@
 func TestUnanswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &carrier{script: serves(time.Hour)}
-		n := New(terms(), 1, known("a", "b"), c, &lister{}, zerolog.Nop())
+		n := New(terms(), 1, known("a", "b"), c, time.Second, &lister{}, zerolog.Nop())
 		for scheme, status := range []int{503, 500} {
 			start := time.Now()
 			a := n.Serve(t.Context(), ask(fmt.Sprint(scheme), scheme, time.Second))
@@ -168,7 +178,7 @@
 func TestClientLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &carrier{script: serves(time.Hour)}
-		n := New(terms(), 1, known("a"), c, &lister{}, zerolog.Nop())
+		n := New(terms(), 1, known("a"), c, time.Second, &lister{}, zerolog.Nop())
 		ctx, leave := context.WithCancel(t.Context())
 		time.AfterFunc(100*time.Millisecond, leave)
 		if a := n.Serve(ctx, ask("j", 0, 5*time.Second)); a != nil {
@@ -184,7 +194,7 @@
 // TestEnd: a node that is told to end answers all that it has, and what still comes, within the time it is given.
 func TestEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := New(terms(), 1, known("a", "b", "c"), &carrier{script: serves(time.Hour)}, &lister{}, zerolog.Nop())
+		n := New(terms(), 1, known("a", "b", "c"), &carrier{script: serves(time.Hour)}, time.Second, &lister{}, zerolog.Nop())
 		start, done := time.Now(), make(chan *protocol.Answer, 2)
 		go func() { done <- n.Serve(t.Context(), ask("j", 1, time.Minute)) }()
 		time.Sleep(100 * time.Millisecond)
@@ -202,7 +212,7 @@
 func TestPanicEndsOneStep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var log bytes.Buffer
-		n := New(terms(), 1, known("a"), &carrier{script: serves(time.Millisecond)}, &lister{}, zerolog.New(&log))
+		n := New(terms(), 1, known("a"), &carrier{script: serves(time.Millisecond)}, time.Second, &lister{}, zerolog.New(&log))
 		broken := *n.terms
 		broken.Schemes = []*dispatch.Scheme{nil}
 		whole := n.terms
@@ -226,7 +236,7 @@
 		c := &carrier{script: func(context.Context, int, *protocol.Job, func(protocol.Line)) (dispatch.Outcome, string) {
 			panic("odd")
 		}}
-		n := New(terms(), 1, known("a"), c, &lister{}, zerolog.Nop())
+		n := New(terms(), 1, known("a"), c, time.Second, &lister{}, zerolog.Nop())
 		start := time.Now()
 		a := n.Serve(t.Context(), ask("j", 1, time.Second))
 		if took := time.Since(start); a == nil || a.Status != 500 || c.sent() != 1 || took > 100*time.Millisecond {
@@ -246,7 +256,7 @@
 			&protocol.List{Version: 3, Entries: []protocol.Entry{entry("a", dispatch.Up)}},
 			&protocol.List{Version: 2, Full: true, Entries: []protocol.Entry{moved}},
 		}}
-		n := New(terms(), 1, known("old"), c, l, zerolog.Nop())
+		n := New(terms(), 1, known("old"), c, time.Second, l, zerolog.Nop())
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		go n.Follow(ctx)
@@ -285,7 +295,7 @@
 	}{{&protocol.List{Version: 41, Full: true, Entries: known("a").Entries}, "41 false"}, {&protocol.List{}, "0 true"}} {
 		synctest.Test(t, func(t *testing.T) {
 			l := &lister{}
-			n := New(terms(), 1, c.known, &carrier{}, l, zerolog.Nop())
+			n := New(terms(), 1, c.known, &carrier{}, time.Second, l, zerolog.Nop())
 			ctx, stop := context.WithCancel(t.Context())
 			go n.Follow(ctx)
 			time.Sleep(2 * time.Second)
@@ -305,7 +315,7 @@
 		for range 50 {
 			l.answers = append(l.answers, &protocol.List{})
 		}
-		n := New(terms(), 1, &protocol.List{}, &carrier{}, l, zerolog.Nop())
+		n := New(terms(), 1, &protocol.List{}, &carrier{}, time.Second, l, zerolog.Nop())
 		ctx, stop := context.WithCancel(t.Context())
 		go n.Follow(ctx)
 		time.Sleep(time.Second + time.Millisecond)
@@ -324,7 +334,7 @@
 		old := &lister{answers: []any{&protocol.List{Version: 50, Full: true, Entries: known("a", "b").Entries}}}
 		down := &lister{answers: []any{errors.New("refused")}}
 		fresh := &lister{answers: []any{&protocol.List{Version: 3, Full: true, Entries: known("b", "c").Entries}}}
-		n := New(terms(), 1, known("a"), &carrier{script: serves(time.Millisecond)}, old, zerolog.Nop())
+		n := New(terms(), 1, known("a"), &carrier{script: serves(time.Millisecond)}, time.Second, old, zerolog.Nop())
 		ctx, stop := context.WithCancel(t.Context())
 		go n.Follow(ctx)
 		time.Sleep(2 * time.Second)
@@ -384,7 +394,7 @@
 		return o, result
 	}
 	ids := []string{"a", "b", "c", "d"}
-	n := New(terms(), r.Uint64(), known(ids...), c, &lister{}, zerolog.Nop())
+	n := New(terms(), r.Uint64(), known(ids...), c, time.Second, &lister{}, zerolog.Nop())
 	var lives sync.WaitGroup
 	for i := range 60 {
 		time.Sleep(time.Duration(dice(100)) * time.Millisecond)
@@ -428,3 +438,32 @@
 		t.Errorf("%d txns and %d postings are left", len(n.lives), len(n.out))
 	}
 }
+
+// TestProbes: a txn goes to the executor that tells of room; a probe that is never answered ends, and one whose executor has
+// gone meanwhile harms nothing.
+func TestProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asking := terms()
+		asking.Probes = true
+		c := &carrier{script: serves(50 * time.Millisecond), load: func(ctx context.Context, address string) (protocol.Load, error) {
+			if address == "b:7" {
+				return protocol.Load{Free: 2, Memory: 1}, nil
+			}
+			<-ctx.Done()
+			return protocol.Load{}, ctx.Err()
+		}}
+		n := New(asking, 1, known("a", "b", "c"), c, 300*time.Millisecond, &lister{}, zerolog.Nop())
+		a := n.Serve(t.Context(), ask("j", 0, 5*time.Second))
+		synctest.Wait()
+		c.mu.Lock()
+		if a == nil || a.Status != 200 || c.jobs[0].Address != "b:7" || len(c.probed) != 3 {
+			t.Errorf("%+v %v", a, c.probed)
+		}
+		c.mu.Unlock()
+		n.event(func() { n.listed(&protocol.List{Full: true, Entries: []protocol.Entry{entry("b", dispatch.Up)}}) })
+		time.Sleep(time.Second)
+		if a := n.Serve(t.Context(), ask("k", 0, 5*time.Second)); a == nil || a.Status != 200 {
+			t.Errorf("%+v", a)
+		}
+	})
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -18,6 +18,7 @@
 
 	"fernrail/dispatch"
 	"fernrail/internal/config"
+	"fernrail/internal/protocol"
 )
 
 // Serve answers batches until the input ends. A line that cannot be read is an error that names its number.
@@ -71,8 +72,7 @@
 	session   *session
 	module    *dispatch.Dispatcher // nil: not started, killed or crashed
 	terms     *dispatch.Terms
-	free      string // the value of load reports that tells free slots
-	memory    string // and free memory; empty: none does
+	values    protocol.Values // of load reports
 	executors map[string]*dispatch.Executor
 	marks     map[uint32]*dispatch.Executor // the same, as nodes name them to one another
 	txns      map[string]*dispatch.Txn
@@ -203,10 +203,7 @@
 	}
 	n.executors, n.txns, n.alarms = map[string]*dispatch.Executor{}, map[string]*dispatch.Txn{}, map[int64]func(){}
 	n.marks = map[uint32]*dispatch.Executor{}
-	n.terms, n.free, n.memory = terms, config.Value(f.find, "free slots"), ""
-	if _, counts := f.find("Extra.MemoryUnit"); counts {
-		n.memory = config.Value(f.find, "free memory")
-	}
+	n.terms, n.values = terms, config.LoadValues(f.find)
 	n.module = dispatch.New(terms, uint64(seed), n, n.session.now)
 }
 
@@ -302,7 +299,7 @@
 func (n *node) reportBack(f *fields) {
 	p, o, took, over := n.posting(f), f.outcome(), f.wholeOr("TimeTaken", 0), f.wholeOr("Ended", 0) != 0
 	if p != nil && p.Open && f.err == nil {
-		p.Free = f.reported(n.free)
+		p.Free = f.reported(n.values.Free)
 		n.module.Ended(p, o, took, over)
 		n.tidy(p.Txn)
 	}
@@ -310,9 +307,9 @@
 
 // probed hands on what an executor told of its room; none, where the probe failed or its report lacks the value.
 func (n *node) probed(f *fields) {
-	e, status, free, memory := n.executors[f.text("Executor")], f.text("Status"), f.reported(n.free), math.MaxFloat64
-	if n.memory != "" {
-		memory = f.reported(n.memory)
+	e, status, free, memory := n.executors[f.text("Executor")], f.text("Status"), f.reported(n.values.Free), math.MaxFloat64
+	if n.values.Memory != "" {
+		memory = f.reported(n.values.Memory)
 	}
 	if e == nil || f.err != nil {
 		return
--- a/internal/transport/executors.go
+++ b/internal/transport/executors.go
@@ -24,14 +24,14 @@
 // Executors holds the connections to executors.
 type Executors struct {
 	transport *http.Transport
-	free      string // the value of load reports that tells free slots
+	values    protocol.Values // of load reports
 }
 
-// NewExecutors: dial is how long a connection may take to come up, idle how long executors keep an unused one, free the
-// value of their load reports that tells free slots.
-func NewExecutors(d *Descriptors, dial, idle time.Duration, free string) *Executors {
+// NewExecutors: dial is how long a connection may take to come up, idle how long executors keep an unused one, values
+// what their load reports tell by which name.
+func NewExecutors(d *Descriptors, dial, idle time.Duration, values protocol.Values) *Executors {
 	dialer := &net.Dialer{Timeout: dial, KeepAlive: -1}
-	return &Executors{free: free, transport: &http.Transport{
+	return &Executors{values: values, transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if !d.take(executors) {
 				return nil, errShort
@@ -55,29 +55,37 @@
 	}}
 }
 
-// Do carries one posting to its end. It tells of starts and progress by heard, and of the end by ended, once, before
-// it looks after the connection.
-func (x *Executors) Do(ctx context.Context, job *protocol.Job, heard func(protocol.Line),
-	ended func(protocol.End)) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var used *conn
-	var use int
-	trace := &httptrace.ClientTrace{
+// hold is the connection that one request has, and how often it has been used.
+type hold struct {
+	conn *conn
+	use  int
+}
+
+func (h *hold) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			used = i.Conn.(*conn)
-			use = used.owner.busy(used)
-			used.start()
+			h.conn = i.Conn.(*conn)
+			h.use = h.conn.owner.busy(h.conn)
+			h.conn.start()
 		},
 		PutIdleConn: func(err error) {
 			if err == nil {
-				used.owner.rest(used, use)
+				h.conn.owner.rest(h.conn, h.use)
 			}
 		},
 	}
-	response, err := x.transport.RoundTrip(job.Encode().WithContext(httptrace.WithClientTrace(ctx, trace)))
+}
+
+// Do carries one posting to its end. It tells of starts and progress by heard, and of the end by ended, once, before
+// it looks after the connection.
+func (x *Executors) Do(ctx context.Context, job *protocol.Job, heard func(protocol.Line),
+	ended func(protocol.End)) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var h hold
+	response, err := x.transport.RoundTrip(job.Encode().WithContext(httptrace.WithClientTrace(ctx, h.trace())))
 	if err != nil {
-		ended(protocol.End{Outcome: failed(ctx, used, use > 1, err), Cause: err})
+		ended(protocol.End{Outcome: failed(ctx, h.conn, h.use > 1, err), Cause: err})
 		return
 	}
 	defer response.Body.Close()
@@ -91,14 +99,14 @@
 		finish(response.Body, cancel)
 		return
 	}
-	lines := protocol.NewLines(job.Request.ID, x.free, response.Body)
+	lines := protocol.NewLines(job.Request.ID, x.values.Free, response.Body)
 	for {
 		line, err := lines.Next()
 		switch {
 		case err != nil:
 			// Danger: the module may send the txn again as soon as it knows; a connection that the library closes a
 			// little later would make that a second copy where none is allowed.
-			used.Close()
+			h.conn.Close()
 			o := givenUp(ctx)
 			if o == dispatch.Settled {
 				o = dispatch.Broken
@@ -122,6 +130,31 @@
 	}
 }
 
+// Probe asks an executor for its load.
+func (x *Executors) Probe(ctx context.Context, address string) (protocol.Load, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var h hold
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, h.trace()), http.MethodGet, "http://"+address+"/-/load", nil)
+	if err != nil {
+		return protocol.Load{}, err
+	}
+	request.Header["User-Agent"] = nil
+	response, err := x.transport.RoundTrip(request)
+	if err != nil {
+		return protocol.Load{}, err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, protocol.MaxLoad))
+	if err != nil {
+		return protocol.Load{}, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return protocol.Load{}, errors.New("a probe was answered " + response.Status)
+	}
+	return protocol.ReadLoad(text, x.values)
+}
+
 // finish reads an answer to its end, which gives its connection back.
 func finish(body io.Reader, cancel context.CancelFunc) {
 	stop := time.AfterFunc(tail, cancel)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -121,7 +121,7 @@
 
 func fresh() (*Descriptors, *Executors) {
 	d := NewDescriptors(1024)
-	return d, NewExecutors(d, time.Second, time.Minute, "x0")
+	return d, NewExecutors(d, time.Second, time.Minute, protocol.Values{Free: "x0"})
 }
 
 func TestOutcomesByWhatIsProved(t *testing.T) {
@@ -192,7 +192,7 @@
 		defer c.Close()
 	}
 	d := NewDescriptors(1024)
-	x, before, start := NewExecutors(d, 50*time.Millisecond, time.Minute, "x0"), d.held, time.Now()
+	x, before, start := NewExecutors(d, 50*time.Millisecond, time.Minute, protocol.Values{Free: "x0"}), d.held, time.Now()
 	got := do(t.Context(), x, address)
 	if took := time.Since(start); got.outcome != dispatch.Undialed || took > time.Second || d.held != before {
 		t.Errorf("%+v after %s", got, took)
@@ -713,3 +713,30 @@
 		t.Error(asked)
 	}
 }
+
+// TestProbe: a probe's answer is its report; refusals, silence and odd bodies are faults, and its connection is kept.
+func TestProbe(t *testing.T) {
+	_, x := fresh()
+	answer := func(status, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+	}
+	good := play(t, says(answer("200 OK", `{"x0":3}`), true))
+	for range 2 {
+		if l, err := x.Probe(t.Context(), good.Addr().String()); err != nil || l.Free != 3 {
+			t.Errorf("%+v %v", l, err)
+		}
+	}
+	if accepted, requests := good.seen(); accepted != 1 || requests != 2 {
+		t.Errorf("%d connections for %d probes", accepted, requests)
+	}
+	for _, text := range []string{answer("404 Not Found", ""), answer("503 Busy", `{"x0":3}`), answer("200 OK", "{}"), "junk"} {
+		if l, err := x.Probe(t.Context(), play(t, says(text, false)).Addr().String()); err == nil {
+			t.Errorf("%q: %+v", text, l)
+		}
+	}
+	short, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	if _, err := x.Probe(short, play(t, says("", true)).Addr().String()); err == nil {
+		t.Error("a silent executor told of its load")
+	}
+}
