--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -46,25 +46,24 @@
 
 // Dispatcher is the decision module of one node.
 type Dispatcher struct {
-	terms            *Terms
-	door             Door
-	born, now        int64
-	failed, counted  int // calls for the list since one succeeded; txns counted in keys
-	chance           *rand.Rand
-	fleet            []*Executor
-	queue            []*Txn
-	recent           map[family][]last
-	runs             []spread         // by scheme: running time over hint, or in seconds where there is no hint
-	works            spread           // size of txns, in seconds
-	prompt           int64            // least time seen from sending to the note of the start; 0: none seen
-	models           map[int]*model   // by kind of machine
-	drawn, near      []*Executor      // scratch space of draw and homes
-	keys             map[uint64]int   // of these txns, by what they are about
-	toldAt, fresh    int64            // when an executor last told of its room; how long that counts
-	tenants, schemes []ledger         // arrivals, and billing value
-	busy             float64          // slots of all open postings
-	pumped           bool             // an alarm to look at the queue is out
-	starts           map[bool]*ledger // by whether at home: postings whose start was due; the prompt ones
+	terms              *Terms
+	door               Door
+	born, now          int64
+	toldAt, fresh      int64 // when an executor last told of its room; how long that counts
+	failed, counted    int   // calls for the list since one succeeded; txns counted in keys
+	chance             *rand.Rand
+	fleet, drawn, near []*Executor // near and drawn are scratch space of homes and draw
+	queue              []*Txn
+	recent             map[family][]last
+	runs               []spread         // by scheme: running time over hint, or in seconds where there is no hint
+	works              spread           // size of txns, in seconds
+	prompt             int64            // least time seen from sending to the note of the start; 0: none seen
+	models             map[int]*model   // by kind of machine
+	keys               map[uint64]int   // of these txns, by what they are about
+	tenants, schemes   []ledger         // arrivals, and billing value
+	busy               float64          // slots of all open postings
+	pumped             bool             // an alarm to look at the queue is out
+	starts             map[bool]*ledger // by whether at home: postings whose start was due; the prompt ones
 }
 
 func New(terms *Terms, seed uint64, door Door, now int64) *Dispatcher {
@@ -446,27 +445,28 @@
 	count := leastHomes + int(math.Round(float64(d.keys[t.Key]-1)/float64(d.counted)*float64(len(d.fleet))))
 	d.near = d.near[:0]
 	for _, e := range d.fleet {
-		if d.health(e) < leastH || !d.allowed(t, e) {
-			continue
-		}
 		luck := float64(rand.NewPCG(t.Key, e.Mark).Uint64()>>11+1) / (1 << 53)
 		if e.wait = -math.Log(luck) / e.size; t.Scheme.Kind < 0 && e.model.bound {
 			e.wait /= leave
 		}
-		if !roam && e.zone != d.terms.Zone {
-			e.wait += 1e9
-		}
 		// Danger: a few nodes at a time may send to a cold one; by key none of them ever would.
 		if d.warmth(e, d.now) < 1 {
 			e.wait = 0
+		} else if !roam && e.zone != d.terms.Zone {
+			e.wait += 1e9
+		}
+		if n := len(d.near); n >= count && e.wait > d.near[count-1].wait || d.health(e) < leastH || !d.allowed(t, e) {
+			continue
+		}
+		if e.wait == 0 {
 			count++
 		}
-		d.near = append(d.near, e)
+		i, _ := slices.BinarySearchFunc(d.near, e, byWait)
+		d.near = slices.Insert(d.near, i, e)
 	}
 	if len(d.near) == 0 {
 		return d.fleet
 	}
-	slices.SortFunc(d.near, byWait)
 	return d.near[:min(count, len(d.near))]
 }
 
