Room that was looked for in vain is looked for again later and later

Cause: Settle looks for room for each waiting txn with every event and every second tick, each look a walk over the fleet; the guard by family does not hold for txns about different things. At the cold each look reckoned the quantile of sizes anew. Change: a txn that found none looks again one tick later each time, sixteen at most; the guard by family goes. What a large txn takes is reckoned once an arrival.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -55,7 +55,8 @@
 	fleet, drawn, near []*Executor // near and drawn are scratch space of homes and draw
 	queue              []*Txn
 	recent             map[family][]last
-	runs               []spread         // by scheme: running time over hint, or in seconds where there is no hint
+	runs               []spread         // by scheme: running time over hint, or in seconds without one
+	large              float64          // what a large txn takes, in ns
 	works              spread           // size of txns, in seconds
 	prompt             int64            // least time seen from sending to the note of the start; 0: none seen
 	models             map[int]*model   // by kind of machine
@@ -136,7 +137,8 @@
 	t.size = max(t.Slots, 1) * float64(work)
 	d.works.add(t.size / 1e9)
 	// Danger: of jobs of milliseconds many begin and end while a word of room is still taken for news.
-	d.fresh = min(askAgain, int64(d.works.at(highEnd, 0)*1e9))
+	d.large = d.works.at(highEnd, 0) * 1e9
+	d.fresh = min(askAgain, int64(d.large))
 	if t.value = t.Scheme.Value; d.terms.ByWork {
 		t.value *= t.size
 	}
@@ -205,6 +207,8 @@
 	if len(t.Postings) >= d.terms.MostPostings || anchor(t) != nil && d.spanOver(t) {
 		d.finish(t)
 	} else if drawn := d.draw(t, asks); len(drawn) == 0 {
+		// Danger: in a jam a node spends its processor time on looking for room that is not there.
+		t.look, t.looks = d.now+d.terms.Tick*min(t.looks, 16), t.looks+1
 		d.enqueue(t)
 	} else if asking {
 		d.ask(t, drawn)
@@ -327,12 +331,11 @@
 func (d *Dispatcher) part(e *Executor) (part float64, since int64, turn bool, of float64) {
 	all := safety * d.terms.FallMultiple * float64(d.terms.Fall) * max(e.model.slots, 1)
 	nodes := max(d.terms.Nodes, 1)
-	least := d.works.at(highEnd, 0) * 1e9
 	length := max(d.terms.Fall/turns, 1)
 	n := max(d.now-e.since, 0) / length
 	since = e.since + n*length
 	all *= d.warmth(e, since) / (turns + 1) // a window meets one turn more than it is long
-	members := max(int64(min(all/least, float64(nodes))), 1)
+	members := max(int64(min(all/d.large, float64(nodes))), 1)
 	groups := (int64(nodes) + members - 1) / members
 	return all / float64(members), since, (n+int64(d.terms.Me)+e.since/1e6)%groups == 0, float64(groups)
 }
@@ -455,7 +458,7 @@
 		} else if !roam && e.zone != d.terms.Zone {
 			e.wait += 1e9
 		}
-		if n := len(d.near); n >= count && e.wait > d.near[count-1].wait || d.health(e) < leastH || !d.allowed(t, e) {
+		if len(d.near) >= count && e.wait > d.near[count-1].wait || d.health(e) < leastH || !d.allowed(t, e) {
 			continue
 		}
 		if e.wait == 0 {
@@ -733,24 +736,21 @@
 
 // Settle ends a round of events: it places waiting txns, the worthiest first, or gives them up.
 func (d *Dispatcher) Settle() {
-	waiting, stuck := d.queue, []family(nil)
+	waiting := d.queue
 	d.queue = nil
 	for _, t := range waiting {
 		t.queued, t.earns = false, d.earns(t)
 	}
 	slices.SortStableFunc(waiting, func(a, b *Txn) int { return cmp.Compare(b.earns, a.earns) })
 	for _, t := range waiting {
-		fresh, key := len(t.Postings) == 0, family{t.Scheme, t.Slots}
 		switch {
 		case t.Over:
 		case t.earns <= 0:
 			d.finish(t)
-		case fresh && slices.Contains(stuck, key):
+		case d.now < t.look:
 			d.enqueue(t)
 		default:
-			if d.place(t); fresh && t.queued {
-				stuck = append(stuck, key)
-			}
+			d.place(t)
 		}
 	}
 	if len(d.queue) > 0 && !d.pumped {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -50,7 +50,7 @@
 	}
 	again := func() {
 		e.limit = firstRoom
-		w.pass(w.terms.Tick)
+		w.pass(8 * w.terms.Tick)
 	}
 	near(1)
 	w.arrive(0, 1, 1e8, 2e10)
@@ -68,6 +68,7 @@
 	near(1 - (1-before-reward)*0.37)
 	// A kept connection that was gone shows at once; what breaks later, the executor broke.
 	for _, took := range []int64{0, 1e9} {
+		again()
 		w.arrive(0, 1, 1e8, 2e10)
 		p := w.open[len(w.open)-1]
 		w.now += took
@@ -774,3 +775,27 @@
 		t.Errorf("%d of 20 things meet the cold executor", met)
 	}
 }
+
+// TestLooksAreSpaced: in a jam each waiting txn would look at the whole fleet with every event, and a node would spend all of
+// its time on that; a large fleet stopped so. What finds no room looks again later and later, and finds it when there is some.
+func TestLooksAreSpaced(t *testing.T) {
+	w := newWorld(t, 6, basicTerms())
+	w.join(2, false)
+	for _, m := range w.fleet {
+		m.Executor.limit, m.Executor.busy = 1, 1
+	}
+	tx := w.arrive(0, 1, 2e9, 2e10)
+	for range 100 {
+		w.pass(w.terms.Tick)
+		w.d.Settle()
+	}
+	if tx.looks == 0 || tx.looks > 20 {
+		t.Errorf("looked for room %d times in 100 rounds", tx.looks)
+	}
+	for _, m := range w.fleet {
+		m.Executor.busy = 0
+	}
+	if w.pass(32 * w.terms.Tick); len(tx.Postings) != 1 {
+		t.Error("room is not found")
+	}
+}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -142,6 +142,7 @@
 	earns        float64 // billing value for each unit of size that can be expected now
 	live         int     // postings out and not withdrawn
 	rounds       int     // of asking for room
+	look, looks  int64   // when room is looked for again, and how often that was in vain
 	queued, over bool    // over: beyond its tenant's share
 	forget       func()  // releases the alarm of its expiry
 }
