--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -436,9 +436,10 @@
 			step += 3
 		}
 		e.wait = step*1e9 - math.Log(1-d.chance.Float64())/d.weight(t, e)
-		d.drawn = append(d.drawn, e)
+		if i, _ := slices.BinarySearchFunc(d.drawn, e, byWait); i < count {
+			d.drawn = slices.Insert(d.drawn, i, e)
+		}
 	}
-	slices.SortFunc(d.drawn, byWait)
 	return d.drawn[:min(count, len(d.drawn))]
 }
 
@@ -744,7 +745,6 @@
 	slices.SortStableFunc(waiting, func(a, b *Txn) int { return cmp.Compare(b.earns, a.earns) })
 	for _, t := range waiting {
 		switch {
-		case t.Over:
 		case t.earns <= 0:
 			d.finish(t)
 		case d.now < t.look:
