A thing has a second home only while most starts are prompt

Change: the second home counts while three in four starts are prompt. Tests seen to fail without it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -36,7 +36,7 @@
 	turns      = 4    // parts of a fall window in which nodes take turns at the cold; a fifth is lost
 	dear       = 0.02 // price of a crossing from which home goes first; under it a late answer costs more
 	leave      = 0.5  // factor on executors of a kind that other schemes need, which can go nowhere else
-	leastHomes = 2    // executors for txns about one thing; the second for when the first is full
+	spare      = 0.25 // share of late starts up to which a thing has a second home; one in a jam, or all fetch
 	asks       = 4    // executors asked for room at a time; with one in two full, one in sixteen finds none
 	askAgain   = 1e8  // ns, at most; that word of room counts, and until others are asked; some reports a second
 	keyCounts  = 256  // txns after which counts by key are halved; tells a tenth of all from a hundredth
@@ -446,7 +446,7 @@
 // homes are the few that txns about one thing are drawn among: by a chance that all nodes share, and by size.
 // Danger: what an executor must fetch for each txn jams the store for all, and the jam feeds itself.
 func (d *Dispatcher) homes(t *Txn, roam bool) []*Executor {
-	count := leastHomes + int(math.Round(float64(d.keys[t.Key]-1)/float64(d.counted)*float64(len(d.fleet))))
+	count := 1 + int(d.prompts(true)+spare) + (len(d.fleet)*max(d.keys[t.Key]-1, 0)+d.counted/2)/d.counted
 	d.near = d.near[:0]
 	for _, e := range d.fleet {
 		luck := float64(rand.NewPCG(t.Key, e.Mark).Uint64()>>11+1) / (1 << 53)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -799,3 +799,26 @@
 		t.Error("room is not found")
 	}
 }
+
+// TestOneHomeInAJam: while starts are prompt a thing has a second home for when the first is full; in a jam the second would
+// fetch as well, and so feed it.
+func TestOneHomeInAJam(t *testing.T) {
+	for prompt, want := range map[float64]int{9: 2, 0: 1} {
+		w := newWorld(t, 2, basicTerms())
+		w.join(20, false)
+		for i, m := range w.fleet {
+			m.Executor.Mark = Mark(strconv.Itoa(i))
+		}
+		w.d.counted, w.d.keys[7] = 100, 1
+		*w.d.starts[true] = ledger{9, prompt, w.now}
+		if homes := w.d.homes(&Txn{Scheme: w.terms.Schemes[0], Key: 7}, true); len(homes) != want {
+			t.Errorf("%v of 9 starts prompt: %d homes, want %d", prompt, len(homes), want)
+		}
+		// Danger: a txn that waits while the counts are halved away; it has a home all the same.
+		delete(w.d.keys, 7)
+		w.d.counted = 5
+		if homes := w.d.homes(&Txn{Scheme: w.terms.Schemes[0], Key: 7}, true); len(homes) != want {
+			t.Errorf("no count left: %d homes", len(homes))
+		}
+	}
+}
