Operators' address: line protocol, figures of jobs, attempts and executors

Design: internal/admin answers one line a connection on a fixed few places beside the clients' budget; the oldest caller without a whole line gives way, and calls are paced, so that neither side can starve the other. Rejected: HTTP on the same server, whose strangers share places with clients; a queue of calls behind one goroutine, which one stalled caller holds up. internal/telemetry counts a job in once and its end by the same closure; attempts come from the library's trace of the last byte written. Excluded executors are counted by the draw's own predicate (sick).

--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -15,8 +16,10 @@
 
 	"github.com/rs/zerolog"
 
+	"fernrail/internal/admin"
 	"fernrail/internal/config"
 	"fernrail/internal/routing"
+	"fernrail/internal/telemetry"
 	"fernrail/internal/transport"
 )
 
@@ -53,7 +56,8 @@
 	runtime.GOMAXPROCS(max(int(math.Ceil(c.Cores)), 1))
 	debug.SetMemoryLimit(int64(memoryPart * float64(c.Memory)))
 
-	node, server := wire(c, log)
+	desk := wire(c, log)
+	node, server := desk.node, desk.server
 	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	follow, cancel := context.WithCancel(context.Background())
@@ -72,6 +76,14 @@
 	if c.Unheard {
 		log.Warn().Str("key", "settings.Limits.MayTell").Msg("messages between nodes have no protocol here: none are sent")
 	}
+	if c.Admin != "" {
+		l, err := net.Listen("tcp", c.Admin)
+		if err != nil {
+			return err
+		}
+		defer l.Close()
+		go admin.New(desk, places(c.Sockets), log).Serve(l)
+	}
 	log.Info().Str("listen", c.Listen).Int("executors", len(c.Known.Entries)).Msg("node serves")
 	select {
 	case err := <-ended:
@@ -87,12 +99,19 @@
 	return nil
 }
 
+// places is how many operators' calls are held at a time: a part of the descriptors that takes little from clients.
+func places(sockets int) int { return min(max(sockets/12, 2), 32) }
+
 // wire puts a node together.
-func wire(c *config.Node, log zerolog.Logger) (*routing.Node, *transport.Server) {
-	descriptors := transport.NewDescriptors(c.Sockets)
-	node := routing.New(c.Terms, c.Seed, c.Known, transport.NewExecutors(descriptors, c.Dial, c.Idle, c.Values),
-		c.Probe, transport.NewDiscovery(c.Discovery, c.Names), log)
-	return node, transport.NewServer(descriptors, c.Names, node.Serve, node.Ready, log)
+func wire(c *config.Node, log zerolog.Logger) *desk {
+	sockets := c.Sockets
+	if c.Admin != "" {
+		sockets -= places(c.Sockets) + 1
+	}
+	descriptors, counters := transport.NewDescriptors(sockets), telemetry.New(c.Names.Schemes)
+	carrier := transport.NewExecutors(descriptors, c.Dial, c.Idle, c.Values, counters.Attempted)
+	node := routing.New(c.Terms, c.Seed, c.Known, carrier, c.Probe, transport.NewDiscovery(c.Discovery, c.Names), log)
+	return &desk{node, transport.NewServer(descriptors, c.Names, node.Serve, node.Ready, counters, log), counters}
 }
 
 // reload reads the file again and turns to the discovery that it names. All else goes on as it is.
--- a/cmd/fernrail/move_test.go
+++ b/cmd/fernrail/move_test.go
@@ -204,7 +204,8 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	node, server := wire(c, zerolog.Nop())
+	desk := wire(c, zerolog.Nop())
+	node, server := desk.node, desk.server
 	address := ""
 	for range 5 { // the place that was free may be taken meanwhile
 		free, fault := net.Listen("tcp", "127.0.0.1:0")
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -358,6 +358,9 @@
 	return 1 - (1-e.h)*math.Exp(-float64(d.now-e.hAt)/recovery)
 }
 
+// sick says whether the executor is left out while others remain.
+func (d *Dispatcher) sick(e *Executor) bool { return d.health(e) < leastH }
+
 // weight is the design's: mean score over the top score, times H; a cold executor counts by its age.
 func (d *Dispatcher) weight(t *Txn, e *Executor) float64 {
 	// Danger: one of many nodes meets most executors seldom or never; until then their kind's mean stands in.
@@ -414,7 +417,7 @@
 	}
 	d.drawn = d.drawn[:0]
 	for _, e := range fleet {
-		sick := d.health(e) < leastH
+		sick := d.sick(e)
 		if sick && well || !d.allowed(t, e) {
 			continue
 		}
@@ -459,7 +462,7 @@
 		} else if !roam && e.zone != d.terms.Zone {
 			e.wait += 1e9
 		}
-		if len(d.near) >= count && e.wait > d.near[count-1].wait || d.health(e) < leastH || !d.allowed(t, e) {
+		if len(d.near) >= count && e.wait > d.near[count-1].wait || d.sick(e) || !d.allowed(t, e) {
 			continue
 		}
 		if e.wait == 0 {
@@ -692,8 +695,7 @@
 
 func (d *Dispatcher) withdraw(p *Posting) {
 	if p.Open && !p.withdrawn && d.terms.MayCancel {
-		p.withdrawn = true
-		p.Txn.live--
+		p.withdrawn, p.Txn.live = true, p.Txn.live-1
 		d.door.Withdraw(p)
 	}
 }
@@ -717,8 +719,7 @@
 		return
 	}
 	t, e := p.Txn, p.Executor
-	p.started = d.now
-	d.prompt = min(cmp.Or(d.prompt, d.now-p.sent), d.now-p.sent)
+	p.started, d.prompt = d.now, min(cmp.Or(d.prompt, d.now-p.sent), d.now-p.sent)
 	e.atWork += t.Slots
 	e.model.slots = max(e.model.slots, e.atWork)
 	if d.now-p.sent <= d.tolerated(p) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -23,6 +23,7 @@
 // Node is what one node is told at start.
 type Node struct {
 	Name, Listen, Discovery string
+	Admin                   string // where operators call; empty: nowhere
 	Seed                    uint64
 	Cores                   float64
 	Memory                  int64 // bytes
@@ -169,6 +170,12 @@
 		n.Name = r.word("name")
 	}
 	n.Listen, n.Discovery = address("EDGE_LISTEN", "listen"), address("EDGE_DISCOVERY", "discovery")
+	if r.word("admin_addr") != "" || env("EDGE_ADMIN_ADDR") != "" {
+		// Danger: the clients' own address, written twice; one of the two would not come up, or hear the other's calls.
+		if n.Admin = address("EDGE_ADMIN_ADDR", "admin_addr"); n.Admin == n.Listen && r.err == nil {
+			r.err = fmt.Errorf("admin_addr: %q is where clients connect", n.Admin)
+		}
+	}
 	n.Cores = r.real("limits.cores", defaultCores)
 	n.Memory = r.whole("limits.memory_mb", defaultMemory, leastMemory) << 20
 	n.Probe = time.Duration(r.whole("limits.probe_ms", defaultProbe, 1)) * time.Millisecond
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -106,6 +106,12 @@
 	return len(n.members) > 0
 }
 
+// Figures counts the executors of the list, and those that the draw leaves out.
+func (n *Node) Figures() (known, excluded int) {
+	n.event(func() { known, excluded = n.module.Figures() })
+	return known, excluded
+}
+
 // Alarm implements dispatch.Door, as do the methods after it. All are called under the lock and none blocks.
 func (n *Node) Alarm(after int64, then func()) (forget func()) {
 	alarm := time.AfterFunc(time.Duration(after), func() { n.event(then) })
--- a/internal/transport/executors.go
+++ b/internal/transport/executors.go
@@ -25,13 +25,14 @@
 type Executors struct {
 	transport *http.Transport
 	values    protocol.Values // of load reports
+	wrote     func()          // told of each posting whose last byte was written
 }
 
 // NewExecutors: dial is how long a connection may take to come up, idle how long executors keep an unused one, values
-// what their load reports tell by which name.
-func NewExecutors(d *Descriptors, dial, idle time.Duration, values protocol.Values) *Executors {
+// what their load reports tell by which name, wrote is told of each posting whose last byte was written.
+func NewExecutors(d *Descriptors, dial, idle time.Duration, values protocol.Values, wrote func()) *Executors {
 	dialer := &net.Dialer{Timeout: dial, KeepAlive: -1}
-	return &Executors{values: values, transport: &http.Transport{
+	return &Executors{values: values, wrote: wrote, transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if !d.take(executors) {
 				return nil, errShort
@@ -83,7 +84,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var h hold
-	response, err := x.transport.RoundTrip(job.Encode().WithContext(httptrace.WithClientTrace(ctx, h.trace())))
+	trace := h.trace()
+	trace.WroteRequest = func(i httptrace.WroteRequestInfo) {
+		if i.Err == nil {
+			x.wrote()
+		}
+	}
+	response, err := x.transport.RoundTrip(job.Encode().WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		ended(protocol.End{Outcome: failed(ctx, h.conn, h.use > 1, err), Cause: err})
 		return
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"fernrail/internal/protocol"
+	"fernrail/internal/telemetry"
 )
 
 const (
@@ -38,14 +39,16 @@
 	names       *protocol.Names
 	serve       Serve
 	ready       func() bool
+	counters    *telemetry.Counters
 	log         zerolog.Logger
 	http        *http.Server
 	listener    net.Listener
 	stopping    atomic.Bool
 }
 
-func NewServer(d *Descriptors, names *protocol.Names, serve Serve, ready func() bool, l zerolog.Logger) *Server {
-	s := &Server{descriptors: d, names: names, serve: serve, ready: ready, log: l}
+func NewServer(d *Descriptors, names *protocol.Names, serve Serve, ready func() bool,
+	counters *telemetry.Counters, l zerolog.Logger) *Server {
+	s := &Server{descriptors: d, names: names, serve: serve, ready: ready, counters: counters, log: l}
 	s.http = &http.Server{Handler: s, ReadTimeout: slowest, IdleTimeout: unused, MaxHeaderBytes: 16 << 10,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
@@ -123,21 +126,23 @@
 		(&protocol.Answer{Status: fault.Status, Body: fault.Text + "\n"}).Write(w)
 		return
 	}
+	// One place counts every end. What is neither answered nor known to be left, a fault say, has failed.
+	status, ended := 0, s.counters.Taken(q.Scheme)
+	defer func() { ended(status) }()
 	c := r.Context().Value(connKey{}).(*conn)
 	if !s.descriptors.admit(c) {
 		return
 	}
+	answer := &protocol.Answer{Status: http.StatusServiceUnavailable}
 	if c.spare {
 		s.log.Warn().Msg("descriptors are short: declined at the door")
-		w.Header().Set("Connection", "close")
-		(&protocol.Answer{Status: http.StatusServiceUnavailable}).Write(w)
+	} else if answer = s.serve(r.Context(), q); answer == nil {
 		return
 	}
-	if answer := s.serve(r.Context(), q); answer != nil {
-		if s.stopping.Load() || answer.Status == http.StatusConflict {
-			w.Header().Set("Connection", "close")
-		}
-		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(reading))
-		answer.Write(w)
+	if c.spare || s.stopping.Load() || answer.Status == http.StatusConflict {
+		w.Header().Set("Connection", "close")
 	}
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(reading))
+	status = answer.Status
+	answer.Write(w)
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -21,6 +21,7 @@
 
 	"fernrail/dispatch"
 	"fernrail/internal/protocol"
+	"fernrail/internal/telemetry"
 )
 
 // executor is a stand-in on loopback: it reads each request that comes and lets a script answer it.
@@ -121,7 +122,7 @@
 
 func fresh() (*Descriptors, *Executors) {
 	d := NewDescriptors(1024)
-	return d, NewExecutors(d, time.Second, time.Minute, protocol.Values{Free: "x0"})
+	return d, NewExecutors(d, time.Second, time.Minute, protocol.Values{Free: "x0"}, func() {})
 }
 
 func TestOutcomesByWhatIsProved(t *testing.T) {
@@ -192,7 +193,7 @@
 		defer c.Close()
 	}
 	d := NewDescriptors(1024)
-	x, before, start := NewExecutors(d, 50*time.Millisecond, time.Minute, protocol.Values{Free: "x0"}), d.held, time.Now()
+	x, before, start := NewExecutors(d, 50*time.Millisecond, time.Minute, protocol.Values{Free: "x0"}, func() {}), d.held, time.Now()
 	got := do(t.Context(), x, address)
 	if took := time.Since(start); got.outcome != dispatch.Undialed || took > time.Second || d.held != before {
 		t.Errorf("%+v after %s", got, took)
@@ -366,7 +367,7 @@
 // node is the clients' side on a loopback address.
 func node(t *testing.T, d *Descriptors, serve Serve, adjust ...func(*http.Server)) (*Server, string) {
 	names := &protocol.Names{Schemes: []string{"pay"}}
-	s := NewServer(d, names, serve, func() bool { return true }, zerolog.Nop())
+	s := NewServer(d, names, serve, func() bool { return true }, telemetry.New(names.Schemes), zerolog.Nop())
 	for _, a := range adjust {
 		a(s.http)
 	}
@@ -494,7 +495,7 @@
 // TestLibraryLogIsCut: a flood of bad clients must not become one of log lines.
 func TestLibraryLogIsCut(t *testing.T) {
 	var out strings.Builder
-	s := NewServer(NewDescriptors(64), nil, nil, nil, zerolog.New(&out))
+	s := NewServer(NewDescriptors(64), nil, nil, nil, nil, zerolog.New(&out))
 	for range 1000 {
 		s.http.ErrorLog.Print("bad")
 	}
