Requests in chunks are taken where their head tells no length beside

Ruled out: slow pieces cut off by the 2 s limit (no such end in the log), silent connections (descriptors 69 of 384), executors. Lines at fault: protocol.hasLength refused all chunks, since the library hides a length that stands beside them. Change: transport.heading looks at heads as they come, hands each on without what follows, and so knows whether one told a length. Rejected: another parser of chunks beside the library's; where two differ requests hide. After chunks the answer says close, because what follows has no start that is known.

--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -20,11 +20,14 @@
 
 const tooLong = "the body is over 64 KiB"
 
-// hasLength says whether a request tells the length of its body, and nothing else about where it ends.
-// Danger: the library takes Transfer-Encoding over Content-Length, and over HTTP/1.0 the other way round, and drops
-// the loser unseen. A second request may hide in what the two do not agree on; clients tell a length, so it is asked for.
-func hasLength(r *http.Request) bool {
-	return r.ProtoAtLeast(1, 1) && r.TransferEncoding == nil && r.ContentLength >= 0 && r.Header["Content-Length"] != nil
+// framed says whether a request tells in one way alone where its body ends: by a length or in chunks. chunks says that
+// a request in chunks told no length beside, which the library drops unseen.
+// Danger: a second request may hide in what two lengths do not agree on. Over HTTP/1.0 chunks mean nothing to some.
+func framed(r *http.Request, chunks bool) bool {
+	if r.TransferEncoding != nil {
+		return chunks && r.ProtoAtLeast(1, 1)
+	}
+	return r.ProtoAtLeast(1, 1) && r.ContentLength >= 0 && r.Header["Content-Length"] != nil
 }
 
 const longestBudget = time.Hour // beyond any expiry; more would overflow when counted in nanoseconds
@@ -74,13 +77,14 @@
 	Text   string
 }
 
-// ReadRequest decodes a client's request, or says what is wrong with it.
-func ReadRequest(r *http.Request, names *Names) (*Request, *Fault) {
+// ReadRequest decodes a client's request, or says what is wrong with it; chunks says that the head of one in chunks told
+// no length beside.
+func ReadRequest(r *http.Request, names *Names, chunks bool) (*Request, *Fault) {
 	if r.Method != http.MethodPost {
 		return nil, &Fault{http.StatusMethodNotAllowed, "jobs come by POST"}
 	}
-	if !hasLength(r) {
-		return nil, &Fault{http.StatusLengthRequired, "jobs come with a Content-Length alone, over HTTP/1.1"}
+	if !framed(r, chunks) {
+		return nil, &Fault{http.StatusLengthRequired, "jobs come with a Content-Length or in chunks, not both, over HTTP/1.1"}
 	}
 	if r.ContentLength > MaxBody {
 		return nil, &Fault{http.StatusRequestEntityTooLarge, tooLong}
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -256,6 +256,8 @@
 	// yielded: told to make room, when it may just have been taken for a request
 	yielded bool
 
+	head heading // of a client's request
+
 	writing sync.Mutex
 	begun   bool // a write since the request was given this connection
 	cut     bool // a write did not take all its bytes
@@ -288,9 +290,16 @@
 // Read notes the first bytes of a client's request: from then on the connection is in use, long before the library
 // says so.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.of != clients {
+		return c.Conn.Read(b)
+	}
+	if n := c.head.more(b); n > 0 {
+		return n, nil
+	}
 	n, err := c.Conn.Read(b)
-	if n > 0 && c.of == clients {
+	if n > 0 {
 		c.owner.busy(c)
+		n = c.head.look(b[:n])
 	}
 	return n, err
 }
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -118,8 +118,9 @@
 		answer.Write(w)
 		return
 	}
+	c := r.Context().Value(connKey{}).(*conn)
 	r.Body = http.MaxBytesReader(w, r.Body, protocol.MaxBody)
-	q, fault := protocol.ReadRequest(r, s.names)
+	q, fault := protocol.ReadRequest(r, s.names, !c.head.sized())
 	if fault != nil {
 		s.log.Warn().Int("status", fault.Status).Str("fault", fault.Text).Msg("request not taken")
 		w.Header().Set("Connection", "close")
@@ -129,7 +130,6 @@
 	// One place counts every end. What is neither answered nor known to be left, a fault say, has failed.
 	status, ended := 0, s.counters.Taken(q.Scheme)
 	defer func() { ended(status) }()
-	c := r.Context().Value(connKey{}).(*conn)
 	if !s.descriptors.admit(c) {
 		return
 	}
@@ -139,9 +139,12 @@
 	} else if answer = s.serve(r.Context(), q); answer == nil {
 		return
 	}
-	if c.spare || s.stopping.Load() || answer.Status == http.StatusConflict {
+	// What follows chunks has no start that is known here.
+	chunks := r.TransferEncoding != nil
+	if c.spare || s.stopping.Load() || answer.Status == http.StatusConflict || chunks {
 		w.Header().Set("Connection", "close")
 	}
+	c.head.next(r.ContentLength)
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(reading))
 	status = answer.Status
 	answer.Write(w)
