Drain of the node: clients are sent away and every connection ends by itself

Design: serving, draining and stopping are phases of transport.Server; a drain uses the steps by which a stop retires connections, so that one waked connection is closed by its server alone. Connections that never send a byte are swept after 0.7 s. Rejected: http.Server.SetKeepAlivesEnabled(false), which closes idle connections under a request that is just being read; a second listener state, since the front still asks for the node's word on the door. A waked connection is looked at once more, past its deadline, so that a request that has come by then is served.

--- a/cmd/fernrail/desk.go
+++ b/cmd/fernrail/desk.go
@@ -17,7 +17,7 @@
 	counters *telemetry.Counters
 }
 
-func (d *desk) Ready() bool { return d.node.Ready() }
+func (d *desk) Ready() bool { return d.server.Ready() }
 
 func (d *desk) Telemetry() ([]byte, error) {
 	f := d.counters.Read()
@@ -29,5 +29,5 @@
 
 func (d *desk) Exclude(string) error { return errLater }
 func (d *desk) Include(string) error { return errLater }
-func (d *desk) Evacuate() error      { return errLater }
-func (d *desk) Activate() error      { return errLater }
+func (d *desk) Evacuate() error      { return d.server.Drain() }
+func (d *desk) Activate() error      { return d.server.Activate() }
--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -69,10 +69,11 @@
 		}
 	}()
 
-	ended, err := server.Open(c.Listen)
+	clients, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
+	ended := server.Open(clients)
 	if c.Unheard {
 		log.Warn().Str("key", "settings.Limits.MayTell").Msg("messages between nodes have no protocol here: none are sent")
 	}
@@ -93,7 +94,7 @@
 	log.Info().Msg("node stops")
 	within := min(c.Longest, longestStop) + stopMargin
 	node.End(within)
-	if err := server.Stop(within + stopMargin); err != nil {
+	if err := server.Stop(within+stopMargin, false); err != nil {
 		log.Warn().Err(err).Msg("ends with clients connected")
 	}
 	return nil
--- a/cmd/fernrail/move_test.go
+++ b/cmd/fernrail/move_test.go
@@ -206,29 +206,19 @@
 	}
 	desk := wire(c, zerolog.Nop())
 	node, server := desk.node, desk.server
-	address := ""
-	for range 5 { // the place that was free may be taken meanwhile
-		free, fault := net.Listen("tcp", "127.0.0.1:0")
-		if fault != nil {
-			f.Fatal(fault)
-		}
-		address = free.Addr().String()
-		free.Close()
-		if _, err = server.Open(address); err == nil {
-			break
-		}
-	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		f.Fatal(err)
 	}
+	server.Open(l)
 	ctx, cancel := context.WithCancel(context.Background())
 	go node.Follow(ctx)
 	f.Cleanup(func() {
 		node.End(100 * time.Millisecond)
-		server.Stop(200 * time.Millisecond)
+		server.Stop(200*time.Millisecond, false)
 		cancel()
 	})
-	return address
+	return l.Addr().String()
 }
 
 // tally is what the clients of one kind of node got.
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -7,9 +7,14 @@
 import (
 	"container/list"
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // reserve is kept for what has no place in the budget: standard files, the poller, the listener, discovery, files of the
@@ -57,13 +62,29 @@
 }
 
 func NewDescriptors(sockets int) *Descriptors {
-	total := max(sockets-reserve, 4)
-	part := func(of float64) int { return max(int(of*float64(total)), 1) }
-	d := &Descriptors{total: total, most: [2]int{part(most), part(most)}, strange: part(unknown), young: young, spare: part(most / 8)}
+	d := &Descriptors{young: young}
 	d.changed.L = &d.mu
+	d.Resize(sockets)
 	return d
 }
 
+// Resize sets how many descriptors this process may hold; what is idle beyond that is closed.
+func (d *Descriptors) Resize(sockets int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.total = max(sockets-reserve, 4)
+	part := func(of float64) int { return max(int(of*float64(d.total)), 1) }
+	d.most, d.strange, d.spare = [2]int{part(most), part(most)}, part(unknown), part(most/8)
+	over := func() int { return d.held[clients] + d.held[executors] - d.yielding - d.total }
+	for over() > 0 && d.idle[executors].Len() > 0 {
+		d.end(&d.idle[executors])
+	}
+	for over() > 0 && d.idle[clients].Len() > 0 {
+		d.yield()
+	}
+	d.changed.Broadcast()
+}
+
 // left is how many more places a side may take. Under mu.
 func (d *Descriptors) left(of side) int {
 	return min(d.most[of]-d.held[of], d.total-d.held[clients]-d.held[executors])
@@ -140,15 +161,31 @@
 }
 
 // yield has the longest idle of the clients' connections closed, if there is one. Under mu.
-// Danger: a request that is being read while its connection is closed is lost. A client's connection is therefore
-// only waked, and the server closes it; if a request's first bytes were read before, it is served instead.
 func (d *Descriptors) yield() {
 	if first := d.idle[clients].Front(); first != nil {
-		c := first.Value.(*conn)
-		c.put(nil)
-		c.yielded = true
-		d.yielding++
-		c.Conn.SetReadDeadline(time.Unix(1, 0))
+		d.wake(first.Value.(*conn))
+	}
+}
+
+// wake has a client's connection closed that has no request on it. Under mu.
+// Danger: a request that is being read while its connection is closed is lost. A client's connection is therefore
+// only waked, and the server closes it; if a request's first bytes have come by then, it is served instead.
+func (d *Descriptors) wake(c *conn) {
+	c.put(nil)
+	c.yielded = true
+	d.yielding++
+	c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// dismiss has clients' connections closed that have not sent a byte for so long.
+func (d *Descriptors) dismiss(after time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for e := d.strangers.Front(); e != nil; {
+		c := e.Value.(*conn)
+		if e = e.Next(); !c.working && !c.came.IsZero() && time.Since(c.came) >= after {
+			d.wake(c)
+		}
 	}
 }
 
@@ -216,13 +253,35 @@
 	}
 }
 
-// empty waits until no client's request is left. Halves of requests by strangers are nobody's loss when time is up.
-func (d *Descriptors) empty(ctx context.Context) error {
-	defer context.AfterFunc(ctx, func() {
+// resume lets clients' connections be idle again.
+func (d *Descriptors) resume() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stopping = false
+}
+
+// vacant waits until no client's connection is left, or there is no more time.
+func (d *Descriptors) vacant(ctx context.Context) {
+	defer d.wakeUp(ctx)()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for d.held[clients] > 0 && ctx.Err() == nil {
+		d.changed.Wait()
+	}
+}
+
+// wakeUp ends waits for changes with their context.
+func (d *Descriptors) wakeUp(ctx context.Context) (stop func() bool) {
+	return context.AfterFunc(ctx, func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		d.changed.Broadcast()
-	})()
+	})
+}
+
+// empty waits until no client's request is left. Halves of requests by strangers are nobody's loss when time is up.
+func (d *Descriptors) empty(ctx context.Context) error {
+	defer d.wakeUp(ctx)()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for d.working > 0 && ctx.Err() == nil {
@@ -297,6 +356,11 @@
 		return n, nil
 	}
 	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.waked() {
+		if n = glance(c.Conn, b); n > 0 {
+			err = nil
+		}
+	}
 	if n > 0 {
 		c.owner.busy(c)
 		n = c.head.look(b[:n])
@@ -304,6 +368,23 @@
 	return n, err
 }
 
+func (c *conn) waked() bool {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	return c.yielded
+}
+
+// glance reads what a connection holds already.
+// Danger: a request that came between the waking and the close is thrown away; a deadline that has passed hides it.
+func glance(c net.Conn, b []byte) (n int) {
+	if s, can := c.(syscall.Conn); can {
+		if raw, err := s.SyscallConn(); err == nil {
+			raw.Control(func(fd uintptr) { n, _ = unix.Read(int(fd), b) })
+		}
+	}
+	return max(n, 0)
+}
+
 // SetReadDeadline keeps a connection awake that has to give way.
 // Danger: the server sets its own limit for idle ones just after it calls one idle, and would wait on.
 func (c *conn) SetReadDeadline(t time.Time) error {
--- /dev/null
+++ b/internal/transport/drain_test.go
@@ -0,0 +1,234 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package transport
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fernrail/internal/protocol"
+)
+
+// ready asks a node whether clients may come.
+func ready(t *testing.T, address string) bool {
+	t.Helper()
+	return answer(t, call(t, address, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")).StatusCode == http.StatusOK
+}
+
+// shuts fails the test unless the connection is closed within a time, with nothing sent on it.
+func shuts(t *testing.T, what string, c net.Conn, within time.Duration) {
+	t.Helper()
+	c.SetReadDeadline(time.Now().Add(within))
+	if text, err := io.ReadAll(c); err != nil || len(text) > 0 {
+		t.Errorf("%s: %q, %v", what, text, err)
+	}
+}
+
+// TestDrain: clients are told not to come, those that come all the same are served, and every connection ends by itself:
+// kept ones at once, busy ones with their answer, and those that never say a word soon. Then all is as before.
+func TestDrain(t *testing.T) {
+	taken, hold := make(chan struct{}), make(chan struct{})
+	d := NewDescriptors(1024)
+	s, address := node(t, d, func(_ context.Context, q *protocol.Request) *protocol.Answer {
+		if string(q.Body) == "l" {
+			taken <- struct{}{}
+			<-hold
+		}
+		return &protocol.Answer{Status: 200, Body: "r"}
+	})
+	for round := range 5 {
+		var kept []net.Conn
+		for range 10 {
+			c := call(t, address, ask+"b")
+			if got := answer(t, c); got.StatusCode != 200 || got.Close {
+				t.Fatalf("round %d: %+v", round, got)
+			}
+			kept = append(kept, c)
+		}
+		silent, half, busy := call(t, address, ""), call(t, address, ask[:30]), call(t, address, ask+"l")
+		<-taken
+		if !ready(t, address) {
+			t.Fatal("not ready")
+		}
+		start := time.Now()
+		for range 2 {
+			if err := s.Drain(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if ready(t, address) {
+			t.Error("ready while it drains")
+		}
+		if got := answer(t, call(t, address, ask+"b")); got.StatusCode != 200 || !got.Close {
+			t.Errorf("a late client: %+v", got)
+		}
+		for _, c := range kept {
+			shuts(t, "kept", c, time.Second)
+		}
+		shuts(t, "silent", silent, 1500*time.Millisecond)
+		io.WriteString(half, ask[30:]+"b")
+		if got := answer(t, half); got.StatusCode != 200 || !got.Close {
+			t.Errorf("a slow client: %+v", got)
+		}
+		if took := time.Since(start); took > 2*time.Second {
+			t.Errorf("empty after %s", took)
+		}
+		hold <- struct{}{}
+		if got := answer(t, busy); got.StatusCode != 200 || !got.Close {
+			t.Errorf("a long job: %+v", got)
+		}
+		for range 2 {
+			if err := s.Activate(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if !ready(t, address) {
+			t.Error("not ready after the drain")
+		}
+	}
+}
+
+// TestNoJobIsLostByADrain: clients that go on sending on their kept connections, while the node drains and serves again
+// and again, get an answer to each request or a close with nothing of it begun, which they send once more.
+func TestNoJobIsLostByADrain(t *testing.T) {
+	s, address := node(t, NewDescriptors(1024), settled)
+	stop, ended := make(chan struct{}), make(chan int)
+	for client := range uint64(8) {
+		go func() {
+			chance, again, c := rand.New(rand.NewPCG(client, 9)), 0, net.Conn(nil)
+			defer func() { ended <- again }()
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				fresh := c == nil
+				if fresh {
+					c = call(t, address, "")
+				}
+				pieces(c, ask+"b", chance)
+				text := make([]byte, 1<<10)
+				n, err := c.Read(text)
+				switch {
+				case n > 0 && string(text[9:12]) == "200":
+					if chance.IntN(3) == 0 || string(text[17:24]) == "Connect" { // told to close, or by itself
+						c.Close()
+						c = nil
+					}
+				case fresh:
+					t.Errorf("a new connection: %q, %v", text[:n], err)
+					return
+				default:
+					c.Close()
+					c, again = nil, again+1
+				}
+			}
+		}()
+	}
+	for range 60 {
+		s.Drain()
+		if ready(t, address) {
+			t.Error("ready")
+		}
+		s.Activate()
+		if !ready(t, address) {
+			t.Error("not ready")
+		}
+	}
+	close(stop)
+	for range 8 {
+		<-ended
+	}
+}
+
+// TestCrossing: a request that is there when its connection is waked to be closed is served.
+func TestCrossing(t *testing.T) {
+	d := NewDescriptors(1024)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client := call(t, l.Addr().String(), "")
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := d.greet(far)
+	d.mu.Lock()
+	d.wake(c)
+	d.mu.Unlock()
+	buffer := make([]byte, 10)
+	if n, err := c.Read(buffer); n != 0 || err == nil {
+		t.Errorf("%d bytes from a silent connection, %v", n, err)
+	}
+	io.WriteString(client, "POST")
+	n, start := 0, time.Now()
+	for n == 0 && time.Since(start) < 2*time.Second { // until the bytes have come
+		n, err = c.Read(buffer)
+	}
+	if string(buffer[:n]) != "POST" || err != nil {
+		t.Errorf("%q, %v", buffer[:n], err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.yielded || d.yielding != 0 || !c.working {
+		t.Error("a connection with a request on it is still to go")
+	}
+}
+
+// TestPhases: what operators ask for out of turn gets a defined answer.
+func TestPhases(t *testing.T) {
+	shut := NewServer(NewDescriptors(64), nil, nil, func() bool { return true }, nil, zerolog.Nop())
+	if shut.Ready() || !errors.Is(shut.Drain(), errShut) || !errors.Is(shut.Activate(), errShut) {
+		t.Error("a server that does not listen")
+	}
+	s, address := node(t, NewDescriptors(64), settled)
+	if err := s.Activate(); err != nil || !ready(t, address) {
+		t.Error("activate without a drain", err)
+	}
+	s.Drain()
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(50*time.Millisecond, false) }()
+	for !errors.Is(s.Drain(), errStopping) {
+		time.Sleep(time.Millisecond)
+	}
+	if !errors.Is(s.Activate(), errStopping) || s.Ready() {
+		t.Error("a drained server that stops is back")
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestResize: what is idle goes when the budget shrinks, and all may come back when it grows.
+func TestResize(t *testing.T) {
+	d := NewDescriptors(reserve + 100)
+	_, address := node(t, d, settled)
+	var kept []net.Conn
+	for range 20 {
+		c := call(t, address, ask+"b")
+		answer(t, c)
+		kept = append(kept, c)
+	}
+	d.Resize(reserve + 10)
+	for _, c := range kept[:10] {
+		shuts(t, "longest idle", c, time.Second)
+	}
+	d.Resize(reserve + 100)
+	for _, c := range kept[10:] {
+		io.WriteString(c, ask+"b")
+		if got := answer(t, c); got.StatusCode != 200 {
+			t.Error(got)
+		}
+	}
+}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"errors"
 	"log"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +30,29 @@
 	quiet = 500 * time.Millisecond
 	// open is the part of the time to stop in which requests are still taken; the rest is for their answers.
 	open = 0.9
+	// farewell is that part where another process of this node has taken over. Who has not used a kept connection until
+	// then can open one there; a job that comes late on it would have little time left.
+	farewell = 0.75
+	// arriving is how long a connection may go without its first byte while the node is emptied: new ones still come
+	// for a fifth of a second, and what they were opened for comes with them.
+	arriving = 700 * time.Millisecond
+	// sweep is between two looks at such connections.
+	sweep = 100 * time.Millisecond
+)
+
+// phase is what a server does with clients.
+type phase int
+
+const (
+	shut     phase = iota // it does not listen yet
+	serving               // takes them
+	draining              // has been told to be empty, and may be told to serve again
+	stopping              // ends
+)
+
+var (
+	errShut     = errors.New("this process takes no clients yet")
+	errStopping = errors.New("this process is stopping")
 )
 
 // Serve is the life of one request: it gives the one final answer, or nil if the client has left.
@@ -43,7 +68,12 @@
 	log         zerolog.Logger
 	http        *http.Server
 	listener    net.Listener
-	stopping    atomic.Bool
+	closing     atomic.Bool // each answer ends its connection
+
+	mu     sync.Mutex
+	phase  phase
+	away   bool        // clients are told not to come
+	sweeps *time.Timer // while draining
 }
 
 func NewServer(d *Descriptors, names *protocol.Names, serve Serve, ready func() bool,
@@ -82,28 +112,98 @@
 	return l.descriptors.greet(c), nil
 }
 
-// Open starts to listen and to serve; what ends that before Stop comes out of the channel.
-func (s *Server) Open(address string) (<-chan error, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	s.listener = l
+// Open starts to serve; what ends that before Stop comes out of the channel.
+func (s *Server) Open(l net.Listener) <-chan error {
+	s.mu.Lock()
+	s.phase, s.listener = serving, l
+	s.mu.Unlock()
 	ended := make(chan error, 1)
 	go func() { ended <- s.http.Serve(&listener{l, s.descriptors}) }()
-	return ended, nil
+	return ended
+}
+
+// Ready says whether clients may come.
+func (s *Server) Ready() bool {
+	s.mu.Lock()
+	takes := s.phase != shut && !s.away
+	s.mu.Unlock()
+	return takes && s.ready()
+}
+
+// Drain sends clients away: none is asked to come, every answer ends its connection, and idle ones are closed. What
+// comes all the same is served.
+func (s *Server) Drain() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch s.phase {
+	case shut:
+		return errShut
+	case stopping:
+		return errStopping
+	case serving:
+		s.phase, s.away = draining, true
+		s.sweeps = time.AfterFunc(sweep, s.sweep)
+		s.release()
+	}
+	return nil
 }
 
-// Stop takes what still comes for part of the time, answers all that was taken and ends. Connections close between
-// requests.
+// release ends connections between requests, now and from now on.
+func (s *Server) release() {
+	s.closing.Store(true)
+	s.descriptors.retire()
+}
+
+// sweep closes connections that were opened and say nothing.
+// Danger: a client that sends its first request as the front takes the node for empty.
+func (s *Server) sweep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase == draining {
+		s.descriptors.dismiss(arriving)
+		s.sweeps.Reset(sweep)
+	}
+}
+
+// Activate ends a drain.
+func (s *Server) Activate() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch s.phase {
+	case shut:
+		return errShut
+	case stopping:
+		return errStopping
+	case draining:
+		s.sweeps.Stop()
+		s.phase, s.away = serving, false
+		s.closing.Store(false)
+		s.descriptors.resume()
+	}
+	return nil
+}
+
+// Stop answers all that was taken and ends; connections close between requests. Where no other process of this node has
+// taken over, it takes what still comes for most of the time; else the door is left to that one at once, and connections
+// that are kept idle stand for a while, since each answer ends its own.
 // Danger: http.Server's own Shutdown closes connections whose next request is just being read. A door that is shut at
 // once leaves clients with nowhere to go while other nodes are down or restart as well.
-func (s *Server) Stop(within time.Duration) error {
+func (s *Server) Stop(within time.Duration, taken bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
-	time.Sleep(max(time.Duration(open*float64(within)), min(quiet, within)))
-	s.stopping.Store(true)
-	s.descriptors.retire()
+	s.mu.Lock()
+	s.phase = stopping
+	s.mu.Unlock()
+	if taken {
+		s.closing.Store(true)
+		s.listener.Close()
+		some, enough := context.WithTimeout(ctx, time.Duration(farewell*float64(within)))
+		s.descriptors.vacant(some)
+		enough()
+	} else {
+		time.Sleep(max(time.Duration(open*float64(within)), min(quiet, within)))
+	}
+	s.release()
 	s.listener.Close()
 	return s.descriptors.empty(ctx)
 }
@@ -112,7 +212,7 @@
 	if r.URL.Path == "/-/ready" {
 		w.Header().Set("Connection", "close") // Danger: who asks this and stays takes a client's place
 		answer := &protocol.Answer{Status: http.StatusOK, Body: "ready\n"}
-		if !s.ready() {
+		if !s.Ready() {
 			answer = &protocol.Answer{Status: http.StatusServiceUnavailable, Body: "not ready\n"}
 		}
 		answer.Write(w)
@@ -141,7 +241,7 @@
 	}
 	// What follows chunks has no start that is known here.
 	chunks := r.TransferEncoding != nil
-	if c.spare || s.stopping.Load() || answer.Status == http.StatusConflict || chunks {
+	if c.spare || s.closing.Load() || answer.Status == http.StatusConflict || chunks {
 		w.Header().Set("Connection", "close")
 	}
 	c.head.next(r.ContentLength)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -371,9 +371,11 @@
 	for _, a := range adjust {
 		a(s.http)
 	}
-	if _, err := s.Open("127.0.0.1:0"); err != nil {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
 		t.Fatal(err)
 	}
+	s.Open(l)
 	t.Cleanup(func() { s.http.Close() })
 	return s, s.listener.Addr().String()
 }
@@ -637,7 +639,7 @@
 	first := call(t, address, ask+"b")
 	<-taken
 	stopped, start := make(chan error, 1), time.Now()
-	go func() { stopped <- s.Stop(2 * time.Second) }()
+	go func() { stopped <- s.Stop(2*time.Second, false) }()
 	second := call(t, address, ask+"b")
 	<-taken
 	for { // until nothing new is taken
@@ -677,7 +679,7 @@
 		read = d.working
 		d.mu.Unlock()
 	}
-	if err := s.Stop(100 * time.Millisecond); err != nil {
+	if err := s.Stop(100*time.Millisecond, false); err != nil {
 		t.Error(err)
 	}
 }
