Bans of executors by operators, kept for the other process and the next one

Design: a ban is an overlay on the list in routing: the module is told that the executor drains, whatever discovery says, and what discovery says now when the ban ends. internal/handover keeps bans in a file of $TMPDIR, written whole and renamed under a lock; who lives, who serves and who owns the cold budget are byte locks, which the kernel drops. A ban that can't be kept is refused.

--- a/cmd/fernrail/desk.go
+++ b/cmd/fernrail/desk.go
@@ -3,18 +3,118 @@
 package main
 
 import (
-	"errors"
+	"context"
+	"fmt"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"time"
 
+	"github.com/rs/zerolog"
+
+	"fernrail/internal/config"
+	"fernrail/internal/handover"
 	"fernrail/internal/routing"
 	"fernrail/internal/telemetry"
 	"fernrail/internal/transport"
 )
 
-// desk is what operators may ask of this node.
+// look is between two looks at what the other processes of this node do; a ban has to hold in all within a second.
+const look = 100 * time.Millisecond
+
+// desk is what operators may ask of this process, and its part in the node beside others.
 type desk struct {
-	node     *routing.Node
-	server   *transport.Server
-	counters *telemetry.Counters
+	config      *config.Node
+	node        *routing.Node
+	server      *transport.Server
+	descriptors *transport.Descriptors
+	counters    *telemetry.Counters
+	seat        *handover.Seat
+	log         zerolog.Logger
+
+	mu     sync.Mutex // round what follows
+	bans   []string   // as the node was told
+	fault  string     // of the last look at the bans
+	others int        // processes of this node beside this one
+	owner  bool       // this process holds the node's part of cold executors' budgets
+	leaves bool       // it has given that to another one
+}
+
+// join takes a place among the node's processes, with the bans that hold there.
+func (d *desk) join(dir string) {
+	var err error
+	if d.seat, err = handover.Join(dir, d.config.Name); err != nil {
+		d.log.Warn().Err(err).Str("key", "TMPDIR").Msg("nothing is shared with other processes of this node")
+	}
+	if d.owner = d.seat.Own(); !d.owner {
+		d.node.Own(false)
+	}
+	d.others = -1
+	d.look()
+}
+
+// keepUp looks at the other processes until the context ends.
+func (d *desk) keepUp(ctx context.Context) {
+	tick := time.NewTicker(look)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			d.look()
+		}
+	}
+}
+
+// look takes over what has changed: the limits are one node's, however many processes it has.
+func (d *desk) look() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if others := d.seat.Others(); others != d.others {
+		d.others = others
+		sockets := d.config.Sockets / (1 + others)
+		if d.config.Admin != "" {
+			sockets -= places(d.config.Sockets) + 1
+		}
+		d.descriptors.Resize(sockets)
+		debug.SetMemoryLimit(int64(memoryPart * float64(d.config.Memory) / float64(1+others)))
+	}
+	if !d.owner && !d.leaves && d.seat.Own() {
+		d.owner = true
+		d.node.Own(true)
+	}
+	d.apply()
+}
+
+// apply has the node keep the bans that hold now. Under mu.
+func (d *desk) apply() {
+	bans, err := d.seat.Bans()
+	fault := ""
+	if err != nil {
+		fault = err.Error()
+	}
+	if fault != d.fault && err != nil {
+		d.log.Warn().Err(err).Msg("bans stay as they are")
+	}
+	if d.fault = fault; !slices.Equal(bans, d.bans) {
+		d.bans = bans
+		d.node.Ban(bans)
+		d.log.Info().Strs("executors", bans).Msg("bans")
+	}
+}
+
+// handOver leaves to another process what one alone may have, if there is one that serves.
+// Danger: two processes that both send to the cold push them over; neither knows what the other sent.
+func (d *desk) handOver() (taken bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seat.Serve(false)
+	if d.leaves = d.seat.Successor(); d.leaves {
+		d.node.Own(false)
+		d.seat.Disown()
+	}
+	return d.leaves
 }
 
 func (d *desk) Ready() bool { return d.server.Ready() }
@@ -25,9 +125,22 @@
 	return f.Line()
 }
 
-var errLater = errors.New("not to be had yet")
+func (d *desk) Exclude(id string) error { return d.ban(id, true) }
+func (d *desk) Include(id string) error { return d.ban(id, false) }
+
+func (d *desk) ban(id string, yes bool) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.apply()
+	if !slices.Contains(d.bans, id) && !d.node.Listed(id) {
+		return fmt.Errorf("no executor %.60q was ever listed", id)
+	}
+	if err := d.seat.Ban(id, yes); err != nil {
+		return fmt.Errorf("the ban can't be kept: %w", err)
+	}
+	d.apply()
+	return nil
+}
 
-func (d *desk) Exclude(string) error { return errLater }
-func (d *desk) Include(string) error { return errLater }
-func (d *desk) Evacuate() error      { return d.server.Drain() }
-func (d *desk) Activate() error      { return d.server.Activate() }
+func (d *desk) Evacuate() error { return d.server.Drain() }
+func (d *desk) Activate() error { return d.server.Activate() }
--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -54,29 +53,20 @@
 	few := &zerolog.BurstSampler{Burst: 20, Period: time.Second}
 	log = log.With().Str("node", c.Name).Logger().Level(c.Log).Sample(&zerolog.LevelSampler{DebugSampler: few, WarnSampler: few})
 	runtime.GOMAXPROCS(max(int(math.Ceil(c.Cores)), 1))
-	debug.SetMemoryLimit(int64(memoryPart * float64(c.Memory)))
-
 	desk := wire(c, log)
-	node, server := desk.node, desk.server
+	defer desk.seat.Leave()
 	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	follow, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go node.Follow(follow)
+	go desk.node.Follow(follow)
+	go desk.keepUp(follow)
 	go func() {
 		for range hangup {
-			reload(c, node, log)
+			reload(c, desk.node, log)
 		}
 	}()
 
-	clients, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return err
-	}
-	ended := server.Open(clients)
-	if c.Unheard {
-		log.Warn().Str("key", "settings.Limits.MayTell").Msg("messages between nodes have no protocol here: none are sent")
-	}
 	if c.Admin != "" {
 		l, err := net.Listen("tcp", c.Admin)
 		if err != nil {
@@ -85,6 +75,14 @@
 		defer l.Close()
 		go admin.New(desk, places(c.Sockets), log).Serve(l)
 	}
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	ended := desk.server.Open(l)
+	if c.Unheard {
+		log.Warn().Str("key", "settings.Limits.MayTell").Msg("messages between nodes have no protocol here: none are sent")
+	}
 	log.Info().Str("listen", c.Listen).Int("executors", len(c.Known.Entries)).Msg("node serves")
 	select {
 	case err := <-ended:
@@ -93,8 +91,8 @@
 	}
 	log.Info().Msg("node stops")
 	within := min(c.Longest, longestStop) + stopMargin
-	node.End(within)
-	if err := server.Stop(within+stopMargin, false); err != nil {
+	desk.node.End(within)
+	if err := desk.server.Stop(within+stopMargin, false); err != nil {
 		log.Warn().Err(err).Msg("ends with clients connected")
 	}
 	return nil
@@ -105,14 +103,13 @@
 
 // wire puts a node together.
 func wire(c *config.Node, log zerolog.Logger) *desk {
-	sockets := c.Sockets
-	if c.Admin != "" {
-		sockets -= places(c.Sockets) + 1
-	}
-	descriptors, counters := transport.NewDescriptors(sockets), telemetry.New(c.Names.Schemes)
+	descriptors, counters := transport.NewDescriptors(c.Sockets), telemetry.New(c.Names.Schemes)
 	carrier := transport.NewExecutors(descriptors, c.Dial, c.Idle, c.Values, counters.Attempted)
 	node := routing.New(c.Terms, c.Seed, c.Known, carrier, c.Probe, transport.NewDiscovery(c.Discovery, c.Names), log)
-	return &desk{node, transport.NewServer(descriptors, c.Names, node.Serve, node.Ready, counters, log), counters}
+	d := &desk{config: c, node: node, descriptors: descriptors, counters: counters, log: log,
+		server: transport.NewServer(descriptors, c.Names, node.Serve, node.Ready, counters, log)}
+	d.join(os.Getenv("TMPDIR"))
+	return d
 }
 
 // reload reads the file again and turns to the discovery that it names. All else goes on as it is.
--- a/dispatch/figures.go
+++ b/dispatch/figures.go
@@ -2,6 +2,8 @@
 
 package dispatch
 
+import "math"
+
 // Figures counts the executors of the list, and those of them that a draw leaves out now: what drains, and the sick
 // while others remain.
 func (d *Dispatcher) Figures() (known, excluded int) {
@@ -19,3 +21,11 @@
 	}
 	return len(d.fleet), excluded
 }
+
+// Own says whether this node's part of cold executors' budgets is this module's to use. Taken over from another process
+// of the node it counts as one that knows nothing of what was sent before.
+func (d *Dispatcher) Own(yes bool) {
+	if d.born = math.MaxInt64; yes {
+		d.born = d.now
+	}
+}
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,211 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package handover is what the processes of one node share in a directory: which of them live, which serves, which
+// holds the node's part of cold executors' budgets, and the operators' bans.
+//
+// All but the bans are locks on bytes of one file. The kernel drops them with their process, so that nobody is taken
+// for living who has died, and nothing has to be read that may be torn.
+package handover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+
+	"golang.org/x/sys/unix"
+)
+
+// seats is how many processes of one node are told apart; an upgrade needs two, one that overtakes another three.
+const seats = 8
+
+// What the bytes of the lock file stand for.
+const (
+	living  = 0         // and one for each seat
+	serving = seats     // and one for each seat
+	budget  = 2 * seats // of cold executors
+	writing = budget + 1
+)
+
+// version of the file of bans.
+const version = 1
+
+// Seat is one process's place among those of its node.
+type Seat struct {
+	dir   string // empty: nothing is shared
+	file  string // of bans
+	locks *os.File
+	seat  int64
+
+	mu   sync.Mutex
+	bans []string // as last read or written, sorted
+}
+
+// Join takes a seat in a directory. Processes of one node have one name. With no directory, or one that can't be used,
+// the seat is a single one: the error says why, and the node can serve on it.
+func Join(dir, name string) (*Seat, error) {
+	s := &Seat{}
+	if dir == "" {
+		return s, nil
+	}
+	base := filepath.Join(dir, "fernrail-"+url.PathEscape(name))
+	locks, err := os.OpenFile(base+".locks", os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return s, err
+	}
+	for s.seat = 0; s.seat < seats; s.seat++ {
+		if err = lock(locks, unix.F_OFD_SETLK, unix.F_WRLCK, living+s.seat); err == nil {
+			s.dir, s.file, s.locks = dir, base+".bans", locks
+			_, err = s.Bans()
+			return s, err
+		}
+	}
+	locks.Close()
+	return s, fmt.Errorf("%s: %w", locks.Name(), err)
+}
+
+// lock takes, frees or asks after one byte's lock.
+func lock(f *os.File, how int, kind int16, at int64) error {
+	return unix.FcntlFlock(f.Fd(), how, &unix.Flock_t{Type: kind, Whence: 0, Start: at, Len: 1})
+}
+
+// held says whether another process holds one of the bytes from the first one on, its own seat apart.
+func (s *Seat) held(first int64) (count int) {
+	for seat := range int64(seats) {
+		ask := unix.Flock_t{Type: unix.F_WRLCK, Start: first + seat, Len: 1}
+		if s.locks != nil && seat != s.seat && unix.FcntlFlock(s.locks.Fd(), unix.F_OFD_GETLK, &ask) == nil && ask.Type != unix.F_UNLCK {
+			count++
+		}
+	}
+	return count
+}
+
+// Others is how many other processes of this node live.
+func (s *Seat) Others() int { return s.held(living) }
+
+// Successor says whether another process of this node takes clients.
+func (s *Seat) Successor() bool { return s.held(serving) > 0 }
+
+// Serve tells the others that this process takes clients, or no longer.
+func (s *Seat) Serve(yes bool) {
+	if s.locks != nil {
+		lock(s.locks, unix.F_OFD_SETLK, kind(yes), serving+s.seat)
+	}
+}
+
+// Own takes this node's part of cold executors' budgets, which one process holds at a time; false: another one does.
+func (s *Seat) Own() bool {
+	return s.locks == nil || lock(s.locks, unix.F_OFD_SETLK, unix.F_WRLCK, budget) == nil
+}
+
+// Disown leaves it to another process.
+func (s *Seat) Disown() {
+	if s.locks != nil {
+		lock(s.locks, unix.F_OFD_SETLK, unix.F_UNLCK, budget)
+	}
+}
+
+func kind(yes bool) int16 {
+	if yes {
+		return unix.F_WRLCK
+	}
+	return unix.F_UNLCK
+}
+
+// list is the file of bans.
+type list struct {
+	Version int      `json:"version"`
+	Bans    []string `json:"bans"`
+}
+
+// read brings the bans up to date. A file that is not there yet holds no news. Under mu.
+func (s *Seat) read() error {
+	if s.dir == "" {
+		return nil
+	}
+	text, err := os.ReadFile(s.file)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var l list
+	if err := json.Unmarshal(text, &l); err != nil {
+		return fmt.Errorf("%s: %w", s.file, err)
+	}
+	if l.Version != version {
+		return fmt.Errorf("%s: version %d, this program knows %d", s.file, l.Version, version)
+	}
+	s.bans = l.Bans
+	return nil
+}
+
+// Bans gives the ids of banned executors, sorted. Where they can't be read, they are what they last were.
+func (s *Seat) Bans() ([]string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err := s.read()
+	return slices.Clone(s.bans), err
+}
+
+// Ban adds an executor to the banned or takes it out. With an error nothing has changed.
+// Danger: two processes that change the list at once; one would write over the other's ban. And a ban that is not kept
+// ends with the process while the operators' staff work on the machine.
+func (s *Seat) Ban(id string, yes bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dir != "" {
+		if err := lock(s.locks, unix.F_OFD_SETLKW, unix.F_WRLCK, writing); err != nil {
+			return fmt.Errorf("%s: %w", s.locks.Name(), err)
+		}
+		defer lock(s.locks, unix.F_OFD_SETLK, unix.F_UNLCK, writing)
+		if err := s.read(); err != nil {
+			return err
+		}
+	}
+	now := slices.Clone(s.bans)
+	at, banned := slices.BinarySearch(now, id)
+	switch {
+	case yes && !banned:
+		now = slices.Insert(now, at, id)
+	case !yes && banned:
+		now = slices.Delete(now, at, at+1)
+	default:
+		return nil
+	}
+	if s.dir != "" {
+		if err := s.write(now); err != nil {
+			return err
+		}
+	}
+	s.bans = now
+	return nil
+}
+
+// write puts a whole new file in the old one's place.
+func (s *Seat) write(bans []string) error {
+	text, err := json.Marshal(list{version, bans})
+	if err != nil {
+		return err
+	}
+	fresh := fmt.Sprintf("%s.%d", s.file, s.seat)
+	if err = os.WriteFile(fresh, text, 0o600); err == nil {
+		err = os.Rename(fresh, s.file)
+	}
+	if err != nil {
+		os.Remove(fresh)
+	}
+	return err
+}
+
+// Leave gives the seat up; the kernel would do as much when the process ends.
+func (s *Seat) Leave() {
+	if s.locks != nil {
+		s.locks.Close()
+	}
+}
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"fernrail/dispatch"
@@ -99,6 +101,10 @@
 		n.log.Info().Int64("version", a.list.Version).Bool("whole", a.list.Full).Int("entries", len(a.list.Entries)).Msg("list")
 	}
 	n.event(func() { n.listed(a.list) })
+	if n.news != nil {
+		close(n.news)
+		n.news = nil
+	}
 	return true, false, a.list.Version
 }
 
@@ -114,8 +120,8 @@
 		if e.Address != "" {
 			m.address = e.Address
 		}
-		members = append(members, dispatch.Member{Executor: m.executor, State: e.State, Zone: e.Zone, Kind: e.Kind,
-			Cell: e.Cell, Since: e.Started, Units: e.Units})
+		m.entry, n.listedOnce[e.ID] = e, true
+		members = append(members, n.present(m))
 	}
 	n.module.List(l.Full, members)
 	for id, m := range n.members {
@@ -124,3 +130,43 @@
 		}
 	}
 }
+
+// present is an executor as the module is told of it: a banned one drains, whatever discovery says.
+func (n *Node) present(m *member) dispatch.Member {
+	e := &m.entry
+	state := e.State
+	if state == dispatch.Up && n.banned[e.ID] {
+		state = dispatch.Draining
+	}
+	return dispatch.Member{Executor: m.executor, State: state, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, Since: e.Started, Units: e.Units}
+}
+
+// Ban has these executors drain, and no others but those that discovery says do.
+func (n *Node) Ban(ids []string) {
+	n.event(func() {
+		was := n.banned
+		n.banned = map[string]bool{}
+		var changed []dispatch.Member
+		for _, id := range ids {
+			n.banned[id] = true
+		}
+		for _, id := range slices.Sorted(maps.Keys(n.members)) {
+			if m := n.members[id]; was[id] != n.banned[id] {
+				changed = append(changed, n.present(m))
+			}
+		}
+		if len(changed) > 0 {
+			n.module.List(false, changed)
+		}
+	})
+}
+
+// Listed says whether an executor is in the list or ever was.
+func (n *Node) Listed(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.listedOnce[id]
+}
+
+// News is closed when discovery has first answered.
+func (n *Node) News() <-chan struct{} { return n.heard }
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -37,32 +37,39 @@
 	probe   time.Duration // how long the answer to a probe is waited for
 	lister  Lister        // Follow alone uses it
 	known   *protocol.List
-	turn    chan Lister // the latest new place to ask, at most one
+	news    chan struct{}   // closed and nil when discovery has first answered; Follow alone uses it
+	heard   <-chan struct{} // the same, for others
+	turn    chan Lister     // the latest new place to ask, at most one
 	log     zerolog.Logger
 	start   time.Time
 
 	mu      sync.Mutex // round the module and all below; never held over a write, a dial or a log line
 	module  *dispatch.Dispatcher
 	members map[string]*member
-	till    int64              // when the node ends
-	taken   int                // txns, ever
-	ids     [2]map[string]bool // of txns taken: since turned, and in the span before
-	turned  int64
-	lives   map[*dispatch.Txn]*life                  // txns without a final answer
-	out     map[*dispatch.Posting]context.CancelFunc // postings without an outcome
-	watch   chan bool                                // what the module wants of the list, at most one order
+	banned  map[string]bool // by operators; what is in it drains
+	// listedOnce holds every executor that was ever listed, so that one that is away is told from a slip of the pen
+	listedOnce map[string]bool
+	till       int64              // when the node ends
+	taken      int                // txns, ever
+	ids        [2]map[string]bool // of txns taken: since turned, and in the span before
+	turned     int64
+	lives      map[*dispatch.Txn]*life                  // txns without a final answer
+	out        map[*dispatch.Posting]context.CancelFunc // postings without an outcome
+	watch      chan bool                                // what the module wants of the list, at most one order
 }
 
 // member is an executor of the list with its present address.
 type member struct {
 	executor *dispatch.Executor
+	entry    protocol.Entry // what discovery said last
 	address  string
 }
 
 // New starts the module on the list as it was last known.
 func New(terms *dispatch.Terms, seed uint64, known *protocol.List, c Carrier, probe time.Duration, l Lister, log zerolog.Logger) *Node {
-	n := &Node{terms: terms, carrier: c, probe: probe, lister: l, known: known, log: log, start: time.Now(), till: math.MaxInt64, members: map[string]*member{},
-		ids: [2]map[string]bool{{}, {}}, lives: map[*dispatch.Txn]*life{}, out: map[*dispatch.Posting]context.CancelFunc{}, watch: make(chan bool, 1), turn: make(chan Lister, 1)}
+	n := &Node{terms: terms, carrier: c, probe: probe, lister: l, known: known, log: log, start: time.Now(), till: math.MaxInt64, members: map[string]*member{}, listedOnce: map[string]bool{},
+		news: make(chan struct{}), ids: [2]map[string]bool{{}, {}}, lives: map[*dispatch.Txn]*life{}, out: map[*dispatch.Posting]context.CancelFunc{}, watch: make(chan bool, 1), turn: make(chan Lister, 1)}
+	n.heard = n.news
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.module = dispatch.New(terms, seed, n, n.clock())
@@ -112,6 +119,9 @@
 	return known, excluded
 }
 
+// Own says whether this process holds the node's part of cold executors' budgets. It does from the start.
+func (n *Node) Own(yes bool) { n.event(func() { n.module.Own(yes) }) }
+
 // Alarm implements dispatch.Door, as do the methods after it. All are called under the lock and none blocks.
 func (n *Node) Alarm(after int64, then func()) (forget func()) {
 	alarm := time.AfterFunc(time.Duration(after), func() { n.event(then) })
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -7,7 +7,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -394,21 +396,52 @@
 		return o, result
 	}
 	ids := []string{"a", "b", "c", "d"}
+	states, banned := map[string]dispatch.State{}, map[string]bool{}
+	mark := func() { // under mu
+		for _, id := range ids {
+			at := id + ":7"
+			if states[id] == dispatch.Up && !banned[id] {
+				delete(stopped, at)
+			} else if stopped[at].IsZero() {
+				stopped[at] = time.Now()
+			}
+		}
+	}
 	n := New(terms(), r.Uint64(), known(ids...), c, time.Second, &lister{}, zerolog.Nop())
 	var lives sync.WaitGroup
 	for i := range 60 {
 		time.Sleep(time.Duration(dice(100)) * time.Millisecond)
 		if dice(5) == 0 {
-			e := entry(ids[dice(len(ids))], dispatch.State(dice(3)))
+			e, whole := entry(ids[dice(len(ids))], dispatch.State(dice(3))), dice(2) == 0
+			e.Started = time.Now().UnixNano() * int64(dice(2)) // it may have restarted
 			n.event(func() {
 				mu.Lock()
 				defer mu.Unlock()
-				if delete(stopped, e.Address); e.State != dispatch.Up {
-					stopped[e.Address] = time.Now()
+				states[e.ID] = e.State
+				mark()
+				l := &protocol.List{Full: whole, Entries: []protocol.Entry{e}}
+				if whole {
+					l.Entries = nil
+					for _, id := range ids {
+						if states[id] != dispatch.Gone {
+							l.Entries = append(l.Entries, entry(id, states[id]))
+						}
+					}
 				}
-				n.listed(&protocol.List{Entries: []protocol.Entry{e}})
+				n.listed(l)
 			})
 		}
+		if dice(6) == 0 {
+			mu.Lock()
+			id := ids[r.IntN(len(ids))]
+			if banned[id] = !banned[id]; !banned[id] {
+				delete(banned, id)
+			}
+			mark()
+			now := slices.Sorted(maps.Keys(banned))
+			mu.Unlock()
+			n.Ban(now)
+		}
 		id, scheme, budget := fmt.Sprint(i), dice(2), time.Duration(dice(3000)+20)*time.Millisecond
 		ctx, leave := context.WithCancel(t.Context())
 		if dice(8) == 0 {
@@ -439,6 +472,62 @@
 	}
 }
 
+// TestBan: whatever discovery tells of a banned executor, a whole list, a restart, another address or that it was away,
+// nothing goes to it; put back, it is in use again, as discovery has it now.
+func TestBan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &carrier{script: serves(50 * time.Millisecond)}
+		n := New(terms(), 1, known("a", "b"), c, time.Second, &lister{}, zerolog.Nop())
+		asked := 0
+		to := func(address string) (count int) {
+			c.jobs = nil
+			var all sync.WaitGroup
+			for range 8 { // at once, so that every executor is needed
+				asked++
+				q := ask(fmt.Sprint(asked), 0, time.Second)
+				all.Go(func() { n.Serve(t.Context(), q) })
+			}
+			all.Wait()
+			for _, j := range c.jobs {
+				if j.Address == address {
+					count++
+				}
+			}
+			return count
+		}
+		if to("a:7") == 0 {
+			t.Fatal("not in use before")
+		}
+		n.Ban([]string{"a", "never"})
+		if known, excluded := n.Figures(); known != 2 || excluded != 1 {
+			t.Errorf("%d known, %d excluded", known, excluded)
+		}
+		restarted := protocol.Entry{ID: "a", Address: "elsewhere:7", Started: time.Now().UnixNano()}
+		for name, l := range map[string]*protocol.List{
+			"nothing": {}, "whole": known("a", "b"), "change": {Entries: []protocol.Entry{entry("a", dispatch.Up)}},
+			"away": known("b"), "back": known("a", "b"), "restarted": {Entries: []protocol.Entry{restarted}},
+		} {
+			n.event(func() { n.listed(l) })
+			if got := to("a:7") + to("elsewhere:7"); got > 0 {
+				t.Errorf("%s: %d went to a banned executor", name, got)
+			}
+		}
+		n.event(func() { n.listed(&protocol.List{Entries: []protocol.Entry{restarted}}) })
+		n.Ban(nil)
+		if to("elsewhere:7") == 0 {
+			t.Error("not in use after")
+		}
+		if n.event(func() { n.listed(known("b")) }); !n.Listed("a") || n.Listed("never") {
+			t.Error("who was ever listed")
+		}
+		n.Ban([]string{"b"})
+		n.event(func() { n.listed(&protocol.List{Entries: []protocol.Entry{entry("b", dispatch.Draining)}}) })
+		if n.Ban(nil); to("b:7") > 0 {
+			t.Error("one that drains by discovery's word is in use")
+		}
+	})
+}
+
 // TestProbes: a txn goes to the executor that tells of room; a probe that is never answered ends, and one whose executor has
 // gone meanwhile harms nothing.
 func TestProbes(t *testing.T) {
