--- a/cmd/fernrail/desk.go
+++ b/cmd/fernrail/desk.go
@@ -53,8 +53,11 @@
 	d.look()
 }
 
-// keepUp looks at the other processes until the context ends.
+// keepUp looks at the other processes until the context ends, where any may be seen.
 func (d *desk) keepUp(ctx context.Context) {
+	if !d.seat.Shared() {
+		return
+	}
 	tick := time.NewTicker(look)
 	defer tick.Stop()
 	for {
--- /dev/null
+++ b/cmd/fernrail/figures_test.go
@@ -0,0 +1,137 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fernrail/internal/telemetry"
+)
+
+// TestFigures: what a node reports is what its clients and executors saw, with declines, an executor that hangs, clients
+// that leave and requests that are cut. Clients that left may count as any end.
+func TestFigures(t *testing.T) {
+	f := newFleet(t, 3)
+	f.workers[2].hung = true
+	discovery := httptest.NewServer(http.HandlerFunc(f.list))
+	t.Cleanup(func() {
+		discovery.CloseClientConnections()
+		discovery.Close()
+	})
+	address := f.start(0, oldShape, "", strings.TrimPrefix(discovery.URL, "http://"))
+	d := f.desks[0]
+	figures := func() (f telemetry.Figures) {
+		t.Helper()
+		line, err := d.Telemetry()
+		if err == nil {
+			err = json.Unmarshal(line, &f)
+		}
+		if err != nil {
+			t.Error(err)
+		}
+		return f
+	}
+	var mu sync.Mutex
+	whole, left, want := 0, 0, map[string]telemetry.Ends{"look": {}, "save": {}, "book": {}}
+	var clients sync.WaitGroup
+	for c := range uint64(24) {
+		clients.Go(func() {
+			chance := rand.New(rand.NewPCG(c, 11))
+			for i := range 20 {
+				class := []string{"look", "save", "book"}[chance.IntN(3)]
+				text := fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: h\r\nX-Call-Id: %d-%d\r\nX-Call-Class: %s\r\nX-Budget-Ms: %d\r\nContent-Length: 4\r\n\r\nbody",
+					class, c, i, class, 20+chance.IntN(300))
+				conn, err := net.Dial("tcp", address)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				how := chance.IntN(5)
+				if how == 0 { // cut before its end
+					io.WriteString(conn, text[:len(text)-1-chance.IntN(len(text)-1)])
+					conn.Close()
+					continue
+				}
+				io.WriteString(conn, text)
+				status, answer := 0, make([]byte, 512)
+				if how > 1 {
+					if n, _ := conn.Read(answer); n > 12 {
+						fmt.Sscanf(string(answer[9:12]), "%d", &status)
+					}
+				}
+				conn.Close()
+				mu.Lock()
+				e := want[class]
+				whole++
+				switch status {
+				case 200:
+					e.Served++
+				case 503:
+					e.Refused++
+				case 0:
+					left++
+				default:
+					e.Failed++
+				}
+				want[class] = e
+				mu.Unlock()
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() { clients.Wait(); close(done) }()
+	taken := func(f telemetry.Figures) (sum int64) {
+		for _, e := range f.Requests {
+			sum += e.Served + e.Refused + e.Failed
+		}
+		return sum + f.InFlight
+	}
+	for before, running := int64(0), true; running; {
+		select {
+		case <-done:
+			running = false
+		case <-time.After(time.Millisecond):
+		}
+		now := taken(figures())
+		if now < before || now > 24*20 {
+			t.Errorf("%d taken, %d before", now, before)
+		}
+		before = now
+	}
+	var got telemetry.Figures
+	for start := time.Now(); time.Since(start) < 5*time.Second; time.Sleep(5 * time.Millisecond) {
+		if got = figures(); got.InFlight == 0 {
+			break
+		}
+	}
+	f.mu.Lock()
+	ran := f.ran
+	f.mu.Unlock()
+	surplus := int64(0)
+	for class, e := range want {
+		is := got.Requests[class]
+		if is.Served < e.Served || is.Refused < e.Refused || is.Failed < e.Failed {
+			t.Errorf("%s: %+v, clients saw %+v", class, is, e)
+		}
+		surplus += is.Served + is.Refused + is.Failed - e.Served - e.Refused - e.Failed
+	}
+	if surplus > int64(left) || taken(got) > int64(whole) || taken(got) < int64(whole-left) || got.InFlight != 0 {
+		t.Errorf("%+v; %d whole requests, %d clients left", got, whole, left)
+	}
+	if int(got.Attempts) != ran || ran == 0 {
+		t.Errorf("%d attempts, executors saw %d", got.Attempts, ran)
+	}
+	if got.ExecutorsKnown != 3 || got.ExecutorsExcluded > 2 {
+		t.Errorf("%+v", got)
+	}
+}
--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -131,7 +131,12 @@
 	node := routing.New(c.Terms, c.Seed, c.Known, carrier, c.Probe, transport.NewDiscovery(c.Discovery, c.Names), log)
 	d := &desk{config: c, node: node, descriptors: descriptors, counters: counters, log: log,
 		server: transport.NewServer(descriptors, c.Names, node.Serve, node.Ready, counters, log)}
-	d.join(os.Getenv("TMPDIR"))
+	// Danger: looks at files many times a second, at a node that has no operators and no second process.
+	dir := ""
+	if c.Admin != "" || c.Inherited != 0 {
+		dir = os.Getenv("TMPDIR")
+	}
+	d.join(dir)
 	return d
 }
 
--- a/cmd/fernrail/move_test.go
+++ b/cmd/fernrail/move_test.go
@@ -45,6 +45,8 @@
 	version int
 	out     map[string][]posted // by txn: what is out, or was
 	effects map[string]int      // once-only and referenced txns: how often their effect came about
+	ran     int                 // requests that came whole
+	desks   []*desk             // of the nodes started
 	single  map[string]bool     // txns of nodes that may not have two postings out
 }
 
@@ -94,7 +96,7 @@
 		fmt.Fprintf(out, `{"x0":%d,"x1":%d}`, free, free)
 		return
 	}
-	io.Copy(io.Discard, r.Body)
+	body, err := io.ReadAll(r.Body)
 	id, over := r.Header.Get("X-Call-Id"), make(chan struct{})
 	mine := posted{over, sync.OnceFunc(func() { close(over) })}
 	defer mine.end()
@@ -102,6 +104,9 @@
 	w.mu.Lock()
 	earlier, drained, banned := w.out[id], w.drained, w.banned
 	w.out[id] = append(earlier, mine)
+	if err == nil && len(body) > 0 { // one that was cut is no attempt
+		w.ran++
+	}
 	single := w.single[id]
 	w.mu.Unlock()
 	if !drained.IsZero() && time.Since(drained) > grace {
@@ -214,6 +219,7 @@
 	}
 	desk := wire(c, zerolog.Nop())
 	node, server := desk.node, desk.server
+	f.desks = append(f.desks, desk)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		f.Fatal(err)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,9 @@
 package config
 
 import (
+	"fmt"
+	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -90,6 +93,67 @@
 	}
 }
 
+// TestAddressOfOperators: there is none unless one is told; it is host:port, and not the clients' own.
+func TestAddressOfOperators(t *testing.T) {
+	for _, c := range []struct{ file, variable, want, fault string }{
+		{"", "", "", ""},
+		{`"admin_addr":"127.0.0.1:15000",`, "", "127.0.0.1:15000", ""},
+		{`"admin_addr":"127.0.0.1:15000",`, "127.0.0.1:15001", "127.0.0.1:15001", ""},
+		{"", "127.0.0.1:15001", "127.0.0.1:15001", ""},
+		{`"admin_addr":"here",`, "", "", "admin_addr: "},
+		{"", "15000", "", "EDGE_ADMIN_ADDR: "},
+		{"", "10.0.0.4:7070", "", "admin_addr: "},
+	} {
+		n, err := parse([]byte("{"+c.file+whole[1:]), func(v string) string {
+			return map[string]string{"EDGE_ADMIN_ADDR": c.variable, "EDGE_LISTEN": "10.0.0.4:7070"}[v]
+		})
+		if c.fault == "" && (err != nil || n.Admin != c.want) || c.fault != "" && (err == nil || !strings.Contains(err.Error(), c.fault)) {
+			t.Errorf("%+v: %v", c, err)
+		}
+	}
+}
+
+// TestInherited: what is handed over is a number, and the descriptor of a socket that listens.
+func TestInherited(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	door, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer door.Close()
+	other, err := os.Open(os.DevNull)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	read := func(fd string) (*Node, error) {
+		return parse([]byte(whole), func(v string) string { return map[string]string{"EDGE_LISTEN_FD": fd}[v] })
+	}
+	if n, err := read(fmt.Sprint(door.Fd())); err != nil || n.Inherited != int(door.Fd()) {
+		t.Error(err)
+	}
+	for _, fd := range []string{"five", "-1", "0", "1", "99999", fmt.Sprint(other.Fd())} {
+		if _, err := read(fd); err == nil || !strings.Contains(err.Error(), "EDGE_LISTEN_FD: ") {
+			t.Errorf("%s: %v", fd, err)
+		}
+	}
+	if n, err := read(""); err != nil || n.Inherited != 0 {
+		t.Error(err)
+	}
+}
+
+// TestSlowConnections: a connection that comes up when a drain's grace is over is none that a posting may go out on.
+func TestSlowConnections(t *testing.T) {
+	text := strings.Replace(whole, `"Odd":true`, `"Rules":{"DrainGrace":100000000}`, 1)
+	if n, err := parse([]byte(text), nothing); err != nil || n.Dial > 50*time.Millisecond {
+		t.Errorf("%v %v", n.Dial, err)
+	}
+}
+
 // TestNewShape: what the settings of the new deployments say reaches the module; messages, which sockets have no protocol
 // for, do not. Without these keys nothing of it is on.
 func TestNewShape(t *testing.T) {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -68,6 +68,12 @@
 	return s, fmt.Errorf("%s: %w", locks.Name(), err)
 }
 
+// Shared says whether other processes of this node could be seen.
+func (s *Seat) Shared() (yes bool) {
+	s.with(func(*os.File) { yes = true })
+	return yes
+}
+
 // lock takes or frees one byte's lock.
 func lock(f *os.File, how int, kind int16, at int64) error {
 	return unix.FcntlFlock(f.Fd(), how, &unix.Flock_t{Type: kind, Start: at, Len: 1})
