A process that takes no clients yet leaves most descriptors to the other

Cause: the budget was halved from the new process's start, 2 s before it took clients; 384 descriptors left the old one 86 places for clients. Ruled out: a flood (115 client sockets in all). A process counts a quarter until it serves, by a byte lock of its own. Operators' places are a 24th, not a 12th. Unit test of parts: 0.8 and 0.2, then halves, then the whole.

--- a/cmd/fernrail/desk.go
+++ b/cmd/fernrail/desk.go
@@ -35,7 +35,7 @@
 	mu     sync.Mutex // round what follows
 	bans   []string   // as the node was told
 	fault  string     // of the last look at the bans
-	others int        // processes of this node beside this one
+	part   float64    // of the node's limits that is this process's
 	owner  bool       // this process holds the node's part of cold executors' budgets
 	leaves bool       // it has given that to another one
 }
@@ -49,7 +49,6 @@
 	if d.owner = d.seat.Own(); !d.owner {
 		d.node.Own(false)
 	}
-	d.others = -1
 	d.look()
 }
 
@@ -74,14 +73,14 @@
 func (d *desk) look() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if others := d.seat.Others(); others != d.others {
-		d.others = others
-		sockets := d.config.Sockets / (1 + others)
+	if part := d.seat.Part(); part != d.part {
+		d.part = part
+		sockets := int(part * float64(d.config.Sockets))
 		if d.config.Admin != "" {
 			sockets -= places(d.config.Sockets) + 1
 		}
 		d.descriptors.Resize(sockets)
-		debug.SetMemoryLimit(int64(memoryPart * float64(d.config.Memory) / float64(1+others)))
+		debug.SetMemoryLimit(int64(memoryPart * part * float64(d.config.Memory)))
 	}
 	if !d.owner && !d.leaves && d.seat.Own() {
 		d.owner = true
--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -94,6 +94,7 @@
 	}
 	ended := desk.server.Open(l)
 	desk.seat.Serve(true)
+	desk.look()
 	if c.Unheard {
 		log.Warn().Str("key", "settings.Limits.MayTell").Msg("messages between nodes have no protocol here: none are sent")
 	}
@@ -122,7 +123,7 @@
 }
 
 // places is how many operators' calls are held at a time: a part of the descriptors that takes little from clients.
-func places(sockets int) int { return min(max(sockets/12, 2), 32) }
+func places(sockets int) int { return min(max(sockets/24, 2), 32) }
 
 // wire puts a node together.
 func wire(c *config.Node, log zerolog.Logger) *desk {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -23,12 +23,17 @@
 // seats is how many processes of one node are told apart; an upgrade needs two, one that overtakes another three.
 const seats = 8
 
+// small is what a process that has not taken clients yet holds of what one holds that has: its standard files, discovery
+// and operators.
+const small = 0.25
+
 // What the bytes of the lock file stand for.
 const (
-	living  = 0         // and one for each seat
-	serving = seats     // and one for each seat
-	budget  = 2 * seats // of cold executors
-	writing = budget + 1
+	living   = 0         // and one for each seat, as for the next two
+	serving  = seats     // takes clients
+	starting = 2 * seats // has not taken any yet
+	budget   = 3 * seats // of cold executors
+	writing  = budget + 1
 )
 
 // version of the file of bans.
@@ -40,6 +45,7 @@
 	file  string // of bans
 	locks *os.File
 	seat  int64
+	young bool // has not taken clients yet
 
 	mu   sync.Mutex
 	bans []string // as last read or written, sorted
@@ -48,7 +54,7 @@
 // Join takes a seat in a directory. Processes of one node have one name. With no directory, or one that can't be used,
 // the seat is a single one: the error says why, and the node can serve on it.
 func Join(dir, name string) (*Seat, error) {
-	s := &Seat{}
+	s := &Seat{young: true}
 	if dir == "" {
 		return s, nil
 	}
@@ -59,6 +65,7 @@
 	}
 	for s.seat = 0; s.seat < seats; s.seat++ {
 		if err = lock(locks, unix.F_OFD_SETLK, unix.F_WRLCK, living+s.seat); err == nil {
+			lock(locks, unix.F_OFD_SETLK, unix.F_WRLCK, starting+s.seat)
 			s.dir, s.file, s.locks = dir, base+".bans", locks
 			_, err = s.Bans()
 			return s, err
@@ -104,6 +111,20 @@
 // Others is how many other processes of this node live.
 func (s *Seat) Others() int { return s.held(living) }
 
+// Part is this process's part of what the node may hold. One that takes no clients yet leaves the most to the others.
+// Danger: an even part, too soon, has the old process decline at the door what the new one does not take yet.
+func (s *Seat) Part() float64 {
+	starting := s.held(starting)
+	all := float64(s.Others()-starting) + small*float64(starting)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own := 1.0
+	if s.young {
+		own = small
+	}
+	return own / (own + all)
+}
+
 // Successor says whether another process of this node takes clients.
 func (s *Seat) Successor() bool { return s.held(serving) > 0 }
 
@@ -113,7 +134,11 @@
 	if yes {
 		kind = unix.F_WRLCK
 	}
-	s.with(func(locks *os.File) { lock(locks, unix.F_OFD_SETLK, kind, serving+s.seat) })
+	s.with(func(locks *os.File) {
+		s.young = false
+		lock(locks, unix.F_OFD_SETLK, kind, serving+s.seat)
+		lock(locks, unix.F_OFD_SETLK, unix.F_UNLCK, starting+s.seat)
+	})
 }
 
 // Own takes this node's part of cold executors' budgets, which one process holds at a time; false: another one does.
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -29,7 +29,7 @@
 func TestTwoSeats(t *testing.T) {
 	dir := t.TempDir()
 	old := join(t, dir)
-	if old.Others() != 0 || old.Successor() || !old.Own() {
+	if old.Others() != 0 || old.Successor() || !old.Own() || old.Part() != 1 {
 		t.Error("alone")
 	}
 	old.Serve(true)
@@ -37,6 +37,9 @@
 	if old.Others() != 1 || fresh.Others() != 1 || old.Successor() || !fresh.Successor() {
 		t.Error("the other was not seen")
 	}
+	if old.Part() != 0.8 || fresh.Part() != 0.2 {
+		t.Error("parts", old.Part(), fresh.Part())
+	}
 	if fresh.Own() || !old.Own() {
 		t.Error("two own one budget")
 	}
@@ -48,7 +51,13 @@
 	if old.Disown(); !fresh.Own() || old.Own() {
 		t.Error("the budget was not handed over")
 	}
+	if old.Part() != 0.5 || fresh.Part() != 0.5 {
+		t.Error("parts", old.Part(), fresh.Part())
+	}
 	fresh.Leave()
+	if old.Part() != 1 {
+		t.Error("the whole is not its own again")
+	}
 	if old.Others() != 0 || old.Successor() || !old.Own() {
 		t.Error("one that has ended is taken for living")
 	}
