--- a/cmd/fernrail/upgrade_test.go
+++ b/cmd/fernrail/upgrade_test.go
@@ -315,3 +315,64 @@
 	old.Process.Signal(syscall.SIGTERM)
 	old.ends()
 }
+
+// TestNeitherSideStarvesTheOther: operators get their answers within a second while hundreds of clients' connections say
+// nothing and others work; and clients get theirs while hundreds of operators' connections send no whole line and others
+// call without a pause.
+func TestNeitherSideStarvesTheOther(t *testing.T) {
+	s := newSite(t)
+	node := s.begin(s.discovery)
+	node.until("readyz", 5*time.Second)
+	end := s.load(12)
+	stall := func(address, text string) {
+		for range 300 {
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			io.WriteString(c, text)
+		}
+	}
+	slowest := time.Duration(0)
+	ask := func() {
+		for range 20 {
+			start := time.Now()
+			node.must("readyz", "OK")
+			node.figures()
+			slowest = max(slowest, time.Since(start)/2)
+		}
+	}
+	go stall(s.door.Addr().String(), "POST /look HTTP/1.1\r\nHost: h")
+	ask()
+	stall(node.admin, "exclude w")
+	ask()
+	var calls sync.WaitGroup
+	for range 4 {
+		calls.Go(callOn(node))
+	}
+	calls.Wait()
+	if slowest > time.Second {
+		t.Errorf("operators waited for %v", slowest)
+	}
+	if f := node.figures(); f.ExecutorsExcluded != 0 {
+		t.Errorf("half a line was carried out: %+v", f)
+	}
+	if answered, turnedBack := end(); turnedBack > 0 || answered < 100 {
+		t.Errorf("%d answered, %d turned back", answered, turnedBack)
+	}
+	if used := node.descriptors(); used > sockets {
+		t.Errorf("%d descriptors", used)
+	}
+	node.Process.Kill()
+}
+
+// callOn calls without a pause.
+func callOn(p *process) func() {
+	return func() {
+		for range 100 {
+			p.must("telemetry", "{")
+		}
+	}
+}
