--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -772,7 +772,7 @@
 	late := t.Scheme.LateValue
 	part, atOnce, age := late+(1-late)*d.onTime(t, d.now), late+(1-late)*d.onTime(t, t.arrived), d.now-t.arrived
 	// Danger: hints that are off make the best of chances look slim. It is the wait that takes a txn's hope.
-	if part < hopeless*atOnce || d.now+d.running(t, lowEnd) >= t.Expiry || age > 4*(t.aim-t.arrived) {
+	if part < hopeless*atOnce || d.now+d.running(t, lowEnd) >= t.Expiry || age > 2*(t.aim-t.arrived) {
 		return 0
 	}
 	return part * t.value / t.size * d.favour(t.Scheme)
