An executor that was ever listed is known to the next process of its node

Gap: exclude of an executor that had left the list before an upgrade was answered with ERR by the new process. The file of bans also names who was listed, the latest 2000; both are changed under the one lock. Rejected: a file of its own, which two processes would have to keep in step with the other.

--- a/cmd/fernrail/desk.go
+++ b/cmd/fernrail/desk.go
@@ -35,6 +35,7 @@
 	mu     sync.Mutex // round what follows
 	bans   []string   // as the node was told
 	fault  string     // of the last look at the bans
+	noted  int        // executors ever listed that the other processes can know of
 	part   float64    // of the node's limits that is this process's
 	owner  bool       // this process holds the node's part of cold executors' budgets
 	leaves bool       // it has given that to another one
@@ -86,6 +87,9 @@
 		d.owner = true
 		d.node.Own(true)
 	}
+	if fresh := d.node.Ever(d.noted); len(fresh) > 0 && d.seat.Note(fresh) == nil {
+		d.noted += len(fresh)
+	}
 	d.apply()
 }
 
@@ -134,7 +138,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.apply()
-	if !slices.Contains(d.bans, id) && !d.node.Listed(id) {
+	if !slices.Contains(d.bans, id) && !d.node.Listed(id) && !d.seat.Listed(id) {
 		return fmt.Errorf("no executor %.60q was ever listed", id)
 	}
 	if err := d.seat.Ban(id, yes); err != nil {
--- a/cmd/fernrail/move_test.go
+++ b/cmd/fernrail/move_test.go
@@ -199,6 +199,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w.drained = time.Now()
+	f.tell()
+}
+
+// tell ends the watches with a new list. Under mu.
+func (f *fleet) tell() {
 	f.version++
 	close(f.changed)
 	f.changed = make(chan struct{})
--- a/cmd/fernrail/upgrade_test.go
+++ b/cmd/fernrail/upgrade_test.go
@@ -209,6 +209,22 @@
 	}
 }
 
+// visit lists one more worker, and part takes it out again.
+func (s *site) visit() {
+	w := &worker{fleet: s.fleet, name: "w8", server: s.workers[7].server}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.workers = append(s.workers, w)
+	s.tell()
+}
+
+func (s *site) part() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.workers = s.workers[:8]
+	s.tell()
+}
+
 // ban notes when operators said that nothing more is to go to a worker.
 func (f *fleet) ban(w *worker, at time.Time) {
 	f.mu.Lock()
@@ -258,6 +274,19 @@
 		old.Process.Signal(syscall.SIGTERM)
 		old.ends()
 		old = fresh
+		old.must("exclude w8", []string{"ERR", "OK"}[min(round, 1)]) // listed in the first process's time alone
+		old.must("include w8", []string{"ERR", "OK"}[min(round, 1)])
+		if round == 0 {
+			s.visit()
+			for start, noted := time.Now(), []byte{}; !strings.Contains(string(noted), `"w8"`) && time.Since(start) < 3*time.Second; {
+				noted, _ = os.ReadFile(filepath.Join(s.dir, "fernrail-n1.bans"))
+				time.Sleep(10 * time.Millisecond)
+			}
+			s.part()
+			for start := time.Now(); old.figures().ExecutorsKnown != 8 && time.Since(start) < 3*time.Second; {
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
 		for _, w := range []*worker{kept, crossed} {
 			s.ban(w, time.Time{})
 			old.must("include "+w.name, "OK")
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -47,8 +47,9 @@
 	seat  int64
 	young bool // has not taken clients yet
 
-	mu   sync.Mutex
-	bans []string // as last read or written, sorted
+	mu     sync.Mutex
+	bans   []string // as last read or written, sorted
+	listed []string // executors that were ever listed, as last read or written, in that order
 }
 
 // Join takes a seat in a directory. Processes of one node have one name. With no directory, or one that can't be used,
@@ -157,8 +158,12 @@
 type list struct {
 	Version int      `json:"version"`
 	Bans    []string `json:"bans"`
+	Listed  []string `json:"listed"`
 }
 
+// most is how many executors that were listed are remembered, the latest; files count as memory.
+const most = 2000
+
 // read brings the bans up to date. A file that is not there yet holds no news. Under mu.
 func (s *Seat) read() error {
 	if s.dir == "" {
@@ -178,7 +183,7 @@
 	if l.Version != version {
 		return fmt.Errorf("%s: version %d, this program knows %d", s.file, l.Version, version)
 	}
-	s.bans = l.Bans
+	s.bans, s.listed = l.Bans, l.Listed
 	return nil
 }
 
@@ -191,42 +196,73 @@
 }
 
 // Ban adds an executor to the banned or takes it out. With an error nothing has changed.
-// Danger: two processes that change the list at once; one would write over the other's ban. And a ban that is not kept
-// ends with the process while the operators' staff work on the machine.
+// Danger: a ban that is not kept ends with the process while the operators' staff work on the machine.
 func (s *Seat) Ban(id string, yes bool) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.dir != "" {
-		if err := lock(s.locks, unix.F_OFD_SETLKW, unix.F_WRLCK, writing); err != nil {
-			return fmt.Errorf("%s: %w", s.locks.Name(), err)
+	return s.change(func() bool {
+		at, banned := slices.BinarySearch(s.bans, id)
+		switch {
+		case yes && !banned:
+			s.bans = slices.Insert(slices.Clone(s.bans), at, id)
+		case !yes && banned:
+			s.bans = slices.Delete(slices.Clone(s.bans), at, at+1)
 		}
-		defer lock(s.locks, unix.F_OFD_SETLK, unix.F_UNLCK, writing)
-		if err := s.read(); err != nil {
-			return err
+		return yes != banned
+	})
+}
+
+// Note remembers executors that were listed, for processes that come after they have gone.
+func (s *Seat) Note(ids []string) error {
+	return s.change(func() bool {
+		before := len(s.listed)
+		for _, id := range ids {
+			if !slices.Contains(s.listed, id) {
+				s.listed = append(s.listed, id)
+			}
 		}
+		grown := len(s.listed) > before
+		s.listed = s.listed[max(len(s.listed)-most, 0):]
+		return grown
+	})
+}
+
+// Listed says whether a process of this node has noted an executor.
+func (s *Seat) Listed(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.read()
+	return slices.Contains(s.listed, id)
+}
+
+// change brings what is shared up to date, changes it and writes it if that made a difference.
+// Danger: two processes that change it at once; one would write over what the other has just kept.
+func (s *Seat) change(do func() bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dir == "" {
+		do()
+		return nil
+	}
+	if err := lock(s.locks, unix.F_OFD_SETLKW, unix.F_WRLCK, writing); err != nil {
+		return fmt.Errorf("%s: %w", s.locks.Name(), err)
 	}
-	now := slices.Clone(s.bans)
-	at, banned := slices.BinarySearch(now, id)
-	switch {
-	case yes && !banned:
-		now = slices.Insert(now, at, id)
-	case !yes && banned:
-		now = slices.Delete(now, at, at+1)
-	default:
+	defer lock(s.locks, unix.F_OFD_SETLK, unix.F_UNLCK, writing)
+	if err := s.read(); err != nil {
+		return err
+	}
+	bans, listed := s.bans, s.listed
+	if !do() {
 		return nil
 	}
-	if s.dir != "" {
-		if err := s.write(now); err != nil {
-			return err
-		}
+	err := s.write()
+	if err != nil {
+		s.bans, s.listed = bans, listed
 	}
-	s.bans = now
-	return nil
+	return err
 }
 
 // write puts a whole new file in the old one's place.
-func (s *Seat) write(bans []string) error {
-	text, err := json.Marshal(list{version, bans})
+func (s *Seat) write() error {
+	text, err := json.Marshal(list{version, s.bans, s.listed})
 	if err != nil {
 		return err
 	}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -132,6 +132,41 @@
 	}
 }
 
+// TestListed: who was listed at one process is known at the other and at the next, the latest of very many; bans that
+// are changed meanwhile stay.
+func TestListed(t *testing.T) {
+	dir := t.TempDir()
+	a, b := join(t, dir), join(t, dir)
+	var both sync.WaitGroup
+	for i, s := range []*Seat{a, b} {
+		both.Go(func() {
+			for n := range 30 {
+				if err := s.Note([]string{fmt.Sprint("s-", n), fmt.Sprint("s-", i, "-", n)}); err != nil {
+					t.Error(err)
+				}
+				s.Ban(fmt.Sprint("b-", i, "-", n), true)
+			}
+		})
+	}
+	both.Wait()
+	a.Leave()
+	b.Leave()
+	c := join(t, dir)
+	if bans, _ := c.Bans(); len(bans) != 60 || len(c.listed) != 90 {
+		t.Errorf("%d bans, %d listed", len(bans), len(c.listed))
+	}
+	if !c.Listed("s-0") || !c.Listed("s-1-29") || c.Listed("never") {
+		t.Error("who was listed")
+	}
+	var many []string
+	for n := range most {
+		many = append(many, fmt.Sprint("m-", n))
+	}
+	if err := c.Note(many); err != nil || len(c.listed) != most || c.Listed("s-0") || !c.Listed("m-0") {
+		t.Errorf("%v, %d listed", err, len(c.listed))
+	}
+}
+
 // TestNoDirectory: one that is missing is told of, by name, and the seat is a single one.
 func TestNoDirectory(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "absent")
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -120,7 +120,9 @@
 		if e.Address != "" {
 			m.address = e.Address
 		}
-		m.entry, n.listedOnce[e.ID] = e, true
+		if m.entry = e; !n.listedOnce[e.ID] {
+			n.listedOnce[e.ID], n.ever = true, append(n.ever, e.ID)
+		}
 		members = append(members, n.present(m))
 	}
 	n.module.List(l.Full, members)
@@ -168,5 +170,12 @@
 	return n.listedOnce[id]
 }
 
+// Ever gives the executors that were ever listed, but for the first so many.
+func (n *Node) Ever(but int) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.ever[but:])
+}
+
 // News is closed when discovery has first answered.
 func (n *Node) News() <-chan struct{} { return n.heard }
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -49,6 +49,7 @@
 	banned  map[string]bool // by operators; what is in it drains
 	// listedOnce holds every executor that was ever listed, so that one that is away is told from a slip of the pen
 	listedOnce map[string]bool
+	ever       []string           // the same in order
 	till       int64              // when the node ends
 	taken      int                // txns, ever
 	ids        [2]map[string]bool // of txns taken: since turned, and in the span before
