A process takes a larger part only after the others had time to take a smaller one

Cause, by reading the order of steps: a new process took its half of the descriptors at once while the old one held eight tenths for up to 0.1 s more, and said yes before its lock told that it serves; an old one told to end in between would have kept its door open. Grown parts now wait for a second look, and the lock comes before the yes. Test of parts fails without the second look.

--- a/cmd/fernrail/desk.go
+++ b/cmd/fernrail/desk.go
@@ -37,6 +37,7 @@
 	fault  string     // of the last look at the bans
 	noted  int        // executors ever listed that the other processes can know of
 	part   float64    // of the node's limits that is this process's
+	grows  bool       // it was seen to be more at the last look
 	owner  bool       // this process holds the node's part of cold executors' budgets
 	leaves bool       // it has given that to another one
 }
@@ -74,7 +75,10 @@
 func (d *desk) look() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if part := d.seat.Part(); part != d.part {
+	// Danger: a part that grows before another process has seen that its own is smaller now; both together hold too much.
+	if part := d.seat.Part(); part > d.part && d.part > 0 && !d.grows {
+		d.grows = true
+	} else if d.grows = false; part != d.part {
 		d.part = part
 		sockets := int(part * float64(d.config.Sockets))
 		if d.config.Admin != "" {
--- /dev/null
+++ b/cmd/fernrail/desk_test.go
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"fernrail/internal/config"
+	"fernrail/internal/handover"
+	"fernrail/internal/protocol"
+)
+
+// TestParts: a process takes more of the node's limits only after the others had time to see that they have less, and less
+// at once.
+func TestParts(t *testing.T) {
+	dir := t.TempDir()
+	c := &config.Node{Name: "n", Sockets: 200, Memory: 1 << 30, Names: &protocol.Names{}, Known: &protocol.List{}}
+	terms, err := config.Decode(func(key string) (string, bool) {
+		if key == "Schemes.count" {
+			return "0", true
+		}
+		return "", false
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Terms = terms
+	d := wire(c, zerolog.Nop())
+	d.join(dir)
+	check := func(what string, want float64) {
+		t.Helper()
+		if d.look(); d.part != want {
+			t.Errorf("%s: %v, want %v", what, d.part, want)
+		}
+	}
+	check("alone", 1)
+	other, err := handover.Join(dir, "n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	other.Serve(true)
+	check("beside one that serves", 0.2)
+	d.seat.Serve(true)
+	check("serves, first look", 0.2)
+	check("serves, second look", 0.5)
+	other.Leave()
+	check("alone again, first look", 0.5)
+	check("alone again, second look", 1)
+}
--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -92,9 +92,9 @@
 	if err != nil {
 		return err
 	}
-	ended := desk.server.Open(l)
+	// Danger: an old process that is told to end at this one's yes, and does not see yet that it has a successor.
 	desk.seat.Serve(true)
-	desk.look()
+	ended := desk.server.Open(l)
 	if c.Unheard {
 		log.Warn().Str("key", "settings.Limits.MayTell").Msg("messages between nodes have no protocol here: none are sent")
 	}
