SIGHUP is taken after an upgrade: the inherited descriptor is not checked again

Cause: Inherit closes the descriptor that it has taken over, and config.Load checks its number again at Reload. Change: Reload leaves that variable out. The test of upgrades sends SIGHUP on the way and fails without it.

--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -58,6 +58,7 @@
 	runtime.GOMAXPROCS(max(int(math.Ceil(c.Cores)), 1))
 	desk := wire(c, log)
 	defer desk.seat.Leave()
+	log.Info().Int("beside", desk.seat.Others()).Msg("node starts")
 	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	follow, cancel := context.WithCancel(context.Background())
@@ -85,6 +86,7 @@
 		case <-time.After(catchUp):
 			log.Warn().Msg("discovery is silent: the node serves on the list in its configuration")
 		case <-stopped.Done():
+			log.Info().Msg("node ends before it served")
 			return nil
 		}
 	}
--- a/cmd/fernrail/upgrade_test.go
+++ b/cmd/fernrail/upgrade_test.go
@@ -34,8 +34,8 @@
 type process struct {
 	*testing.T
 	*exec.Cmd
-	admin string
-	ended chan error
+	admin, config, discovery string
+	ended                    chan error
 }
 
 // say makes an operators' call.
@@ -58,6 +58,33 @@
 	}
 }
 
+// hangUp has the process read its file again, which names another discovery now, and waits until it is asked.
+func (p *process) hangUp() {
+	p.Helper()
+	first, asked := agent(p.T)
+	text, err := os.ReadFile(p.config)
+	if err != nil {
+		p.Fatal(err)
+	}
+	now := strings.Replace(string(text), p.discovery, first, 1)
+	if err := os.WriteFile(p.config, []byte(now), 0o600); err != nil {
+		p.Fatal(err)
+	}
+	p.Process.Signal(syscall.SIGHUP)
+	select {
+	case <-asked:
+	case <-time.After(5 * time.Second):
+		p.Error("the new configuration is not taken")
+	}
+	if err := os.WriteFile(p.config, text, 0o600); err != nil {
+		p.Fatal(err)
+	}
+	p.Process.Signal(syscall.SIGHUP)
+	for start := time.Now(); p.figures().ExecutorsKnown == 0 && time.Since(start) < 5*time.Second; {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // until asks until the answer is yes.
 func (p *process) until(line string, within time.Duration) {
 	p.Helper()
@@ -140,7 +167,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		s.Fatal(err)
 	}
-	p := &process{T: s.T, Cmd: exec.Command(os.Args[0]), admin: admin, ended: make(chan error, 1)}
+	p := &process{T: s.T, Cmd: exec.Command(os.Args[0]), admin: admin, config: path, discovery: discovery, ended: make(chan error, 1)}
 	p.Env = append(os.Environ(), "FERNRAIL_TEST_NODE=1", "EDGE_CONFIG="+path, "EDGE_ADMIN_ADDR="+admin, "EDGE_LISTEN_FD=3",
 		"EDGE_LOG=info", "TMPDIR="+s.dir)
 	p.ExtraFiles = []*os.File{s.file}
@@ -274,6 +301,9 @@
 		old.Process.Signal(syscall.SIGTERM)
 		old.ends()
 		old = fresh
+		if round == 1 {
+			old.hangUp()
+		}
 		old.must("exclude w8", []string{"ERR", "OK"}[min(round, 1)]) // listed in the first process's time alone
 		old.must("include w8", []string{"ERR", "OK"}[min(round, 1)])
 		if round == 0 {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -68,10 +68,11 @@
 
 // Reload reads the file again while the node runs. Only discovery's address can change then; left names the keys of
 // what differs beside it, which waits for a restart.
-// Danger: EDGE_DISCOVERY tells the address of the start. Here the file goes before it, or the old one stays for good.
+// Danger: EDGE_DISCOVERY tells the address of the start. Here the file goes before it, or the old one stays for good. And
+// the descriptor that was inherited has been taken over, so that its number may be another file's by now.
 func (n *Node) Reload(env func(string) string) (now *Node, left []string, err error) {
 	now, err = Load(func(variable string) string {
-		if variable == "EDGE_DISCOVERY" {
+		if variable == "EDGE_DISCOVERY" || variable == "EDGE_LISTEN_FD" {
 			return ""
 		}
 		return env(variable)
