--- a/cmd/fernrail/desk.go
+++ b/cmd/fernrail/desk.go
@@ -127,6 +127,21 @@
 	return d.leaves
 }
 
+// outlast waits until this process is the node's last, for a time at most.
+// Danger: who runs the node takes the newest process for it. If that one ends first, the others are killed with all that
+// they have taken.
+func (d *desk) outlast(within time.Duration) {
+	tick := time.NewTicker(look)
+	defer tick.Stop()
+	for enough := time.After(within); d.seat.Others() > 0; {
+		select {
+		case <-enough:
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 func (d *desk) Ready() bool { return d.server.Ready() }
 
 func (d *desk) Telemetry() ([]byte, error) {
--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -87,6 +87,7 @@
 			log.Warn().Msg("discovery is silent: the node serves on the list in its configuration")
 		case <-stopped.Done():
 			log.Info().Msg("node ends before it served")
+			desk.outlast(min(c.Longest, longestStop) + 2*stopMargin)
 			return nil
 		}
 	}
--- a/cmd/fernrail/upgrade_test.go
+++ b/cmd/fernrail/upgrade_test.go
@@ -36,6 +36,7 @@
 	*exec.Cmd
 	admin, config, discovery string
 	ended                    chan error
+	at                       time.Time // of its end, once that is told
 }
 
 // say makes an operators' call.
@@ -175,7 +176,11 @@
 	if err := p.Start(); err != nil {
 		s.Fatal(err)
 	}
-	go func() { p.ended <- p.Wait() }()
+	go func() {
+		err := p.Wait()
+		p.at = time.Now()
+		p.ended <- err
+	}()
 	s.Cleanup(func() { p.Process.Kill() })
 	return p
 }
@@ -371,8 +376,18 @@
 	if _, turnedBack := end(); turnedBack > 0 {
 		t.Errorf("%d turned back", turnedBack)
 	}
+	// Told to end together the new one, which the platform takes for the node, is not the first to go.
+	fresh := s.begin(silent.Addr().String())
+	for fresh.say("readyz") == "" {
+		time.Sleep(10 * time.Millisecond)
+	}
+	fresh.Process.Signal(syscall.SIGTERM)
 	old.Process.Signal(syscall.SIGTERM)
 	old.ends()
+	fresh.ends()
+	if early := old.at.Sub(fresh.at); early > time.Second {
+		t.Errorf("the new process ended %v before the old one", early)
+	}
 }
 
 // TestNeitherSideStarvesTheOther: operators get their answers within a second while hundreds of clients' connections say
