Clocks that differ: one notion of time left, and stamps off by their error

Ruled out: an offset by scheme (it is the node's clock). Change: Dispatcher.till moves the expiry by the least that the node's latest 16 txns were told short of their scheme's expiry, within the margin, less a sixty-fourth for the way; all else goes on using Expiry. A time-out without a limit of ours ends the txn: the client has gone. Turns at the cold count from the earliest start that the stamp allows, warmth from the latest: one stamped ahead of the clock had no budget counted at all. On sockets a node that ends brings the moved expiry forward.

--- /dev/null
+++ b/dispatch/clocks_test.go
@@ -0,0 +1,143 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import "testing"
+
+func clockTerms() *Terms {
+	terms := basicTerms()
+	terms.LeftMargin = 3e9
+	for _, s := range terms.Schemes {
+		s.Expiry = 3e9
+	}
+	return terms
+}
+
+// TestToldTooShort: a node whose clock is ahead hears that its txns have no time left, and serves them all the same;
+// what it can't serve is answered before the latest that the rules allow.
+func TestToldTooShort(t *testing.T) {
+	w := newWorld(t, 1, clockTerms())
+	w.join(2, false)
+	for i := range 40 {
+		x := w.arrive(i%5, 1, 5e7, -int64(i%3)*1e6)
+		if x.Over || len(x.Postings) != 1 {
+			t.Fatalf("txn %d, told of nothing of 3 s, has %d postings", i, len(x.Postings))
+		}
+		w.settle()
+	}
+	for range 3 { // at odds with this node's other txns: a client's later try
+		w.arrive(0, 1, 5e7, -1e9)
+	}
+	for range 40 {
+		w.arrive(2, 4, 5e7, 0) // more than there is room for
+	}
+	w.pass(3e9)
+	w.finish()
+}
+
+// TestToldTooLong: a node whose clock is behind hears of more time than any client waits; whatever is out, the final answer
+// comes within the scheme's.
+func TestToldTooLong(t *testing.T) {
+	w := newWorld(t, 2, clockTerms())
+	w.join(2, false)
+	for i := range 8 {
+		x := w.arrive(i%5, 1, 5e7, 45e8)
+		if at := w.now + 3e9; x.Expiry > at {
+			t.Fatalf("kept for %d ms too long", (x.Expiry-at)/1e6)
+		}
+	}
+	later := w.arrive(0, 1, 5e7, 25e8) // a later try, told as much too long
+	if left := later.Expiry - w.now; left > 11e8 {
+		t.Errorf("a later try with 1 s left is kept for %d ms", left/1e6)
+	}
+	w.finish()
+}
+
+// TestTimedOutEndsIt: the time-out says that the client has given up; the txn gets its answer then and goes nowhere again.
+func TestTimedOutEndsIt(t *testing.T) {
+	for i := range 5 {
+		w := newWorld(t, 3, clockTerms())
+		w.join(4, false)
+		x := w.arrive(i, 1, 5e7, 25e8)
+		w.pass(1e9)
+		n := len(x.Postings)
+		w.end(x.Postings[0], TimedOut)
+		if w.pass(1e8); !x.Over || len(x.Postings) != n {
+			t.Errorf("scheme %d: over %v, %d postings, %d before", i, x.Over, len(x.Postings), n)
+		}
+	}
+}
+
+// TestOtherClocksAhead: an executor whose own clock runs ahead turns txns away or fails them though it is well; they go
+// elsewhere, and one such error takes it out of nobody's draw for good.
+func TestOtherClocksAhead(t *testing.T) {
+	w := newWorld(t, 4, clockTerms())
+	w.join(4, false)
+	ahead := w.fleet[0].Executor
+	served := 0
+	for range 200 {
+		x := w.arrive(0, 1, 5e7, 25e8)
+		for w.ended[x] == 0 && !x.Over {
+			p := x.Postings[len(x.Postings)-1]
+			if o := Full; p.Executor == ahead {
+				if w.IntN(2) == 0 {
+					o = Erred
+				}
+				w.end(p, o)
+				continue
+			}
+			w.d.Started(p)
+			w.end(p, Settled)
+			served++
+		}
+		w.pass(1e7)
+	}
+	if served < 195 {
+		t.Errorf("%d of 200 served", served)
+	}
+	w.pass(recovery)
+	if w.d.sick(ahead) {
+		t.Error("left out for good")
+	}
+	w.finish()
+}
+
+// TestStampedLater: a start that is stamped in the future is one all the same: what is sent to it counts, and it gets no more
+// than its budget; stamped earlier it stays cold for as long as it may be.
+func TestStampedLater(t *testing.T) {
+	for _, off := range []int64{-1, 1} {
+		terms := clockTerms()
+		terms.StampError = 4e9
+		w := newWorld(t, 5, terms)
+		w.join(2, false)
+		w.pass(2 * terms.Fall)
+		e := w.fleet[0].Executor
+		w.fleet[0].Since, w.d.models[0].slots = w.now+off*terms.StampError, testSlots
+		w.list(false)
+		born, sent := w.now, []charge{}
+		for w.now < born+terms.Cold-terms.StampError {
+			for range 8 {
+				for _, p := range w.arrive(0, 1, 1e8, 2e9).Postings {
+					if p.Executor == e {
+						sent = append(sent, charge{w.now, 1e8})
+					}
+				}
+			}
+			w.settle()
+			w.pass(2e7)
+			share := terms.ColdShare + (1-terms.ColdShare)*float64(w.now-born)/float64(terms.Cold)
+			sum := 0.0
+			for _, c := range sent {
+				if w.now-c.at <= terms.Fall {
+					sum += c.work
+				}
+			}
+			if budget := terms.FallMultiple * share * testSlots * float64(terms.Fall); sum > budget {
+				t.Fatalf("stamped %d s off: %.2f of its budget after %d ms", off*4, sum/budget, (w.now-born)/1e6)
+			}
+		}
+		if len(sent) == 0 || w.d.warmth(e, w.now) == 1 {
+			t.Errorf("stamped %d s off: %d sent, warmth %.2f", off*4, len(sent), w.d.warmth(e, w.now))
+		}
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -38,6 +38,8 @@
 	leave      = 0.5  // factor on executors of a kind that other schemes need, which can go nowhere else
 	spare      = 0.25 // share of late starts up to which a thing has a second home; one in a jam, or all fetch
 	asks       = 4    // executors asked for room at a time; with one in two full, one in sixteen finds none
+	lefts      = 16   // latest txns of which one at least is taken for a client's first try; some clients try thrice
+	way        = 64   // part of an expiry that is left for the way to the client; ours must come before it goes
 	askAgain   = 1e8  // ns, at most; that word of room counts, and until others are asked; some reports a second
 	keyCounts  = 256  // txns after which counts by key are halved; tells a tenth of all from a hundredth
 )
@@ -62,6 +64,7 @@
 	models             map[int]*model   // by kind of machine
 	keys               map[uint64]int   // of these txns, by what they are about
 	tenants, schemes   []ledger         // arrivals, and billing value
+	offs               []int64          // by which the latest txns were told less time than their schemes have
 	busy               float64          // slots of all open postings
 	pumped             bool             // an alarm to look at the queue is out
 	starts             map[bool]*ledger // by whether at home: postings whose start was due; the prompt ones
@@ -131,6 +134,7 @@
 }
 
 func (d *Dispatcher) Arrive(t *Txn) {
+	t.Expiry = d.till(t)
 	t.arrived, t.over = d.now, len(d.terms.Tenants) > 0 && d.overShare(t)
 	// Danger: the first job that runs far longer than its hint would speak for all to come.
 	for r := &d.runs[t.Scheme.Index]; t.Hint > 0 && r.n < 3; {
@@ -161,6 +165,21 @@
 	d.enqueue(t)
 }
 
+// till is when the txn's client gives up, the one notion of time left: as told, or where clocks may differ, as much
+// later or earlier as the latest first tries were told too little or too much. A wrong guess ends with a time-out.
+// Danger: told too short all is declined at once, told too long nothing is, and the final answers come too late.
+func (d *Dispatcher) till(t *Txn) int64 {
+	if d.terms.LeftMargin == 0 || t.Scheme.Expiry == 0 {
+		return t.Expiry
+	}
+	d.offs = append(d.offs[max(len(d.offs)-lefts+1, 0):], t.Scheme.Expiry-t.Expiry+d.now)
+	off := min(max(slices.Min(d.offs), -d.terms.LeftMargin), d.terms.LeftMargin)
+	if off >= 0 {
+		return t.Expiry + max(off-t.Scheme.Expiry/way, 0)
+	}
+	return t.Expiry + off
+}
+
 // Expire sets when the txn has to be answered at the latest; a node that is told to end brings it forward.
 // Danger: a txn that is forgotten. This alarm answers it whatever else happens.
 func (d *Dispatcher) Expire(t *Txn, at int64) {
@@ -336,17 +355,19 @@
 	all := safety * d.terms.FallMultiple * float64(d.terms.Fall) * max(e.model.slots, 1)
 	nodes := max(d.terms.Nodes, 1)
 	length := max(d.terms.Fall/turns, 1)
-	n := max(d.now-e.since, 0) / length
-	since = e.since + n*length
+	// Danger: a start that is stamped too late lies ahead, and nothing sent since then would count.
+	first := e.since - d.terms.StampError
+	n := max(d.now-first, 0) / length
+	since = first + n*length
 	all *= d.warmth(e, since) / (turns + 1) // a window meets one turn more than it is long
 	members := max(int64(min(all/d.large, float64(nodes))), 1)
 	groups := (int64(nodes) + members - 1) / members
 	return all / float64(members), since, (n+int64(d.terms.Me)+e.since/1e6)%groups == 0, float64(groups)
 }
 
-// warmth is the share of its capacity that an executor has at least, at a time.
+// warmth is the share of its capacity that an executor has at least, at a time; it may be younger than its stamp.
 func (d *Dispatcher) warmth(e *Executor, at int64) float64 {
-	age := float64(at - e.since)
+	age := float64(at - e.since - d.terms.StampError)
 	if e.since == 0 || age >= float64(d.terms.Cold) {
 		return 1
 	}
@@ -683,6 +704,8 @@
 	}
 	if over {
 		d.Left(t)
+	} else if o == TimedOut && p.Limit == 0 { // Danger: the client has given up, whatever it was said to have left
+		d.finish(t)
 	}
 	p.then()
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -29,6 +29,7 @@
 type Scheme struct {
 	Index     int
 	SlaTime   int64
+	Expiry    int64   // how long a client waits for all its tries; 0: not told
 	Stretch   float64 // the SLA time grows by this multiple of the txn's own work
 	Value     float64 // billing value
 	LateValue float64 // share of it that a late answer earns
@@ -72,6 +73,8 @@
 	Fall         int64
 	FallMultiple float64
 	AskWithin    int64 // how long news may lie while no call for the list is out; then it counts as told
+	LeftMargin   int64 // by which a txn's expiry may be told too early or too late
+	StampError   int64 // by which an executor's start may be
 	Grace        int64 // how long after that a posting may still be sent to what drains or is gone
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -178,3 +178,20 @@
 		t.Errorf("%+v %v", n.Terms, err)
 	}
 }
+
+// TestClocks: by how much clocks may differ reaches the module, and is nothing where the settings say nothing.
+func TestClocks(t *testing.T) {
+	for text, want := range map[string][3]int64{whole: {0, 0, 5e9},
+		strings.Replace(whole, `"Odd":true`, `"Rules":{"LeftMargin":7500000000,"BootStampError":40}`, 1): {7500e6, 40, 5e9}} {
+		n, err := parse([]byte(text), nothing)
+		if err != nil || [3]int64{n.Terms.LeftMargin, n.Terms.StampError, n.Terms.Schemes[0].Expiry} != want {
+			t.Errorf("%v, want %v", err, want)
+		}
+	}
+	for _, key := range []string{"LeftMargin", "BootStampError"} {
+		text := strings.Replace(whole, `"Odd":true`, `"Rules":{"`+key+`":-1}`, 1)
+		if _, err := parse([]byte(text), nothing); err == nil || !strings.Contains(err.Error(), "Rules."+key+": ") {
+			t.Errorf("%s: %v", key, err)
+		}
+	}
+}
--- a/internal/config/terms.go
+++ b/internal/config/terms.go
@@ -126,7 +126,8 @@
 		Missed: r.real("ScoreParts.Punctual", 0) / (4 * max(r.real("ScoreParts.MissAllowed", 1), 0.001)) /
 			whole,
 		FallMultiple: r.real("Rules.FallMultiple", 1), AskWithin: r.whole("Rules.AskWithin", 1e9, 0),
-		Grace: r.whole("Rules.DrainGrace", 0, 0),
+		Grace: r.whole("Rules.DrainGrace", 0, 0), LeftMargin: r.whole("Rules.LeftMargin", 0, 0),
+		StampError: r.whole("Rules.BootStampError", 0, 0),
 	}
 	if !r.flag("Limits.RetryAfter") {
 		t.MaxReturn = 0
@@ -145,6 +146,7 @@
 	for i := 0; i < count && r.err == nil; i++ {
 		at := "Schemes." + strconv.Itoa(i) + "."
 		s := &dispatch.Scheme{Index: i, SlaTime: r.whole(at+"SlaTime", -1, 0), Value: r.real(at+"BillingValue", 1),
+			Expiry:    r.whole(at+"Expiry", 0, 1),
 			LateValue: r.real(at+"LateBillingValue", 0), Memory: r.whole(at+"MemorySpan", 0, 0),
 			Kind:    int(listed("Extra.ClassKind", kinds, i, -1)),
 			Stretch: r.real(at+"AimStretch", listed("Extra.ClassStretch", stretches, i, 0))}
--- a/internal/routing/life.go
+++ b/internal/routing/life.go
@@ -52,11 +52,15 @@
 	l := &life{request: q, answer: make(chan *protocol.Answer, 1)}
 	t := &dispatch.Txn{Tag: q.ID, Tenant: q.Tenant, Slots: q.Slots, Memory: q.Memory, Key: q.Key, Hint: q.Hint, Scheme: n.terms.Schemes[q.Scheme]}
 	err := n.event(func() {
-		t.Expiry = min(n.clock()+int64(q.Budget), n.till)
+		t.Expiry = n.clock() + int64(q.Budget)
 		n.taken++
 		l.number = n.taken
 		n.lives[t] = l
 		n.module.Arrive(t)
+		// Danger: where clocks may differ the module moves the expiry; a node that ends has no more time for all that.
+		if t.Expiry > n.till {
+			n.module.Expire(t, n.till)
+		}
 	})
 	// Danger: a txn that the module lost in a fault; it is owed an answer all the same.
 	if err != nil {
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -57,6 +57,19 @@
 	}
 }
 
+// TestClocksDiffer: by how much txns may be told too little time reaches the module; one told of none goes out, and without
+// the setting it is answered at once.
+func TestClocksDiffer(t *testing.T) {
+	short := strings.Replace(order, "GiveUpAt=1904000000", "GiveUpAt=1004000000", 1)
+	out, err := serve(t, strings.Replace(opening, "Tick", "Rules.LeftMargin=900000000\tTick", 1)+short)
+	if err != nil || !strings.Contains(out, "TRY\tJob=a") || strings.Contains(out, "NOT_NOW") {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	if out, err = serve(t, opening+short); err != nil || !strings.Contains(out, "NOT_NOW\tJob=a") {
+		t.Fatalf("%v\n%s", err, out)
+	}
+}
+
 func TestKillAndRestart(t *testing.T) {
 	out, err := serve(t, opening+order+"ROUND\tNow=1006000000\tbatch=3\nON\tWho=node/1\nKILL\nCOMMIT\n"+
 		strings.Replace(opening, "Now=1000000000", "Now=1010000000", 1)+
