Things have homes in all zones alike where a fetch is priced above a crossing

A crossing is priced 0.03, over dear, so each txn stayed in its zone and each thing had homes in three zones: 0.61 fetches a txn, and the store that all share jammed. Ruled out: limits and refusals (none), slow machines (spread 2), too few executors (load under a half). At fault: draw and homes, which asked for the price of a crossing alone. Change: Prices.Origin is read; where it is above a crossing's, things' homes are looked for in all zones. Covers any store that is shared and priced; does harm where crossings take longer than a fetch does. Test: nodes of two zones meet on a thing's homes; fails without.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -38,7 +38,7 @@
 	leave      = 0.5  // factor on executors of a kind that other schemes need, which can go nowhere else
 	spare      = 0.25 // share of late starts up to which a thing has a second home; one in a jam, or all fetch
 	asks       = 4    // executors asked for room at a time; with one in two full, one in sixteen finds none
-	lefts      = 16   // latest txns of which one at least is taken for a client's first try; some clients try thrice
+	lefts      = 16   // latest txns of which one at least counts as a client's first try; some try three times
 	way        = 64   // part of an expiry that is left for the way to the client; ours must come before it goes
 	askAgain   = 1e8  // ns, at most; that word of room counts, and until others are asked; some reports a second
 	keyCounts  = 256  // txns after which counts by key are halved; tells a tenth of all from a hundredth
@@ -114,8 +114,8 @@
 	})
 }
 
-// quiet is how long no call for the list may be out: until news counts as told, and half of the drain's grace. The
-// rest is for the answer. Danger: longer, and nodes send to what they were told of, or would have been.
+// quiet is how long no call for the list may be out: until news counts as told, and half a drain's grace.
+// The rest is for the answer. Danger: longer, and nodes send to what they were told of, or would have been.
 func (d *Dispatcher) quiet() float64 { return float64(d.terms.AskWithin + d.terms.Grace/2) }
 
 // Follow asks for news of the list for the first time; where there is a list to go by, at a time by chance.
@@ -165,9 +165,9 @@
 	d.enqueue(t)
 }
 
-// till is when the txn's client gives up, the one notion of time left: as told, or where clocks may differ, as much
-// later or earlier as the latest first tries were told too little or too much. A wrong guess ends with a time-out.
-// Danger: told too short all is declined at once, told too long nothing is, and the final answers come too late.
+// till is when the txn's client gives up, the one notion of time left: as told, or where clocks may differ, so
+// much later or earlier as the latest first tries were told too little or too much. A wrong guess ends with a
+// time-out. Danger: told too short all is declined at once; told too long, answers come too late.
 func (d *Dispatcher) till(t *Txn) int64 {
 	if d.terms.LeftMargin == 0 || t.Scheme.Expiry == 0 {
 		return t.Expiry
@@ -365,7 +365,7 @@
 	return all / float64(members), since, (n+int64(d.terms.Me)+e.since/1e6)%groups == 0, float64(groups)
 }
 
-// warmth is the share of its capacity that an executor has at least, at a time; it may be younger than its stamp.
+// warmth is the share of its capacity that an executor has at least, at a time; its stamp may be too early.
 func (d *Dispatcher) warmth(e *Executor, at int64) float64 {
 	age := float64(at - e.since - d.terms.StampError)
 	if e.since == 0 || age >= float64(d.terms.Cold) {
@@ -438,6 +438,8 @@
 	// Danger: a zone with more traffic than its machines can carry drowns while others idle.
 	roam := d.terms.CrossPrice < dear || d.chance.Float64()*d.prompts(false) > d.prompts(true)
 	if t.Key != 0 {
+		// Danger: what has homes in each zone is fetched as many times more, and others' make room.
+		roam = roam || d.terms.CrossPrice < d.terms.FetchPrice
 		fleet = d.homes(t, roam)
 	}
 	d.drawn = d.drawn[:0]
@@ -704,7 +706,7 @@
 	}
 	if over {
 		d.Left(t)
-	} else if o == TimedOut && p.Limit == 0 { // Danger: the client has given up, whatever it was said to have left
+	} else if o == TimedOut && p.Limit == 0 { // Danger: its client has given up, whatever was told
 		d.finish(t)
 	}
 	p.then()
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -497,6 +497,36 @@
 	}
 }
 
+// TestHomesInAllZones: where a fetch is priced above a crossing, nodes of two zones meet on the same home of a thing; where
+// crossing is dearer each zone has its own.
+func TestHomesInAllZones(t *testing.T) {
+	for _, fetch := range []float64{0, 0.05} {
+		met := map[uint64]int{}
+		for node := range 20 {
+			terms := basicTerms()
+			terms.CrossPrice, terms.FetchPrice, terms.Zone = 0.03, fetch, node%2
+			w := newWorld(t, uint64(node), terms)
+			w.join(8, false)
+			for i, m := range w.fleet {
+				m.Executor.Mark = Mark("e" + strconv.Itoa(i))
+			}
+			for i := range 200 { // about seven things, the middle one of three
+				tx := &Txn{Scheme: terms.Schemes[0], Slots: 1, Hint: 1e8, Expiry: w.now + 9e9, Key: uint64(2 + i%7)}
+				w.txns = append(w.txns, tx)
+				w.d.Arrive(tx)
+				w.d.Settle()
+				if i%7 == 1 {
+					met[w.open[0].Executor.Mark]++
+				}
+				w.settle()
+			}
+		}
+		if one := len(met) <= 3; one != (fetch > 0) {
+			t.Errorf("a fetch at %v, and a thing has %d homes", fetch, len(met))
+		}
+	}
+}
+
 // TestLiveWeightsCount: an executor whose weight on the list has fallen with its load is drawn that much less.
 func TestLiveWeightsCount(t *testing.T) {
 	units := func(i int) float64 { return []float64{0.5, 4}[i%2] }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -65,6 +65,7 @@
 	MayDuplicate bool
 	MaxReturn    int64 // longest advice that a client follows; 0: give none
 	CrossPrice   float64
+	FetchPrice   float64 // of fetching what a txn is about from the store that all share
 	IdleClose    int64   // how long an unused connection stays
 	WorstScheme  float64 // weight of the scheme served worst, over that of the whole
 	Missed       float64 // what a missed SLA time costs besides, over the billing value
--- a/internal/config/terms.go
+++ b/internal/config/terms.go
@@ -117,7 +117,7 @@
 		TellsStart: r.flag("Extra.TellsStart"), Progress: r.whole("Extra.Progress", 0, 0),
 		MostPostings: int(r.whole("Limits.MostPostings", 1, 0)),
 		MayCancel:    r.flag("Limits.MayCancel"), MayDuplicate: r.flag("Limits.MayDuplicate"),
-		MaxReturn: r.whole("Limits.MaxRetryAfter", 0, 0), CrossPrice: r.real("Prices.CrossZone", 0),
+		MaxReturn: r.whole("Limits.MaxRetryAfter", 0, 0), CrossPrice: r.real("Prices.CrossZone", 0), FetchPrice: r.real("Prices.Origin", 0),
 		IdleClose:   r.whole("Limits.IdleClose", 0, 0),
 		ColdShare:   r.real("Rules.ColdShare", 0),
 		Cold:        r.whole("Rules.Cold", 0, 0),
