The place of work taken back counts as taken for as long as a job runs

No copies are allowed, a late posting is taken back, its slot counted as free at once, and the next was sent: the executors ran what nobody waited for (a cancel stops nothing there, which no setting tells), so every start was late, and so on for good. Ruled out: limits in flight (cut to this node's part and kept), running times (no errors in them), tenants' shares. At fault: Ended, busy of a revoked posting. Change: a revoked posting's slots are given back after a median run. Covers every kind of giving up; does harm where a cancel stops work at once, for one run. Test: fails without.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -677,7 +677,15 @@
 	if p.Open, e.idleAt = false, d.now; p.started > 0 {
 		e.atWork -= t.Slots
 	}
-	if e.busy, d.busy = e.busy-t.Slots, d.busy-t.Slots; !p.withdrawn {
+	free := func() { e.busy, d.busy = e.busy-t.Slots, d.busy-t.Slots }
+	// Danger: work that was taken back may run all the same. A node that takes its place for free sends more
+	// than the executor can do, gives that up as well, and a jam outlives its cause for good.
+	if o == Revoked {
+		d.door.Alarm(d.running(t, 0.5), free)
+	} else {
+		free()
+	}
+	if !p.withdrawn {
 		t.live--
 	}
 	// Danger: of many nodes none has more than one or two txns at an executor, and takes it for that small.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -30,6 +30,7 @@
 		for len(w.open) > 0 {
 			w.end(w.open[0], Revoked)
 		}
+		w.pass(6e9) // what was taken back may run for a while
 		for _, m := range w.fleet {
 			if e := m.Executor; e.busy != 0 || e.atWork != 0 {
 				t.Fatalf("executor keeps %v slots, %v at work", e.busy, e.atWork)
@@ -38,6 +39,30 @@
 	})
 }
 
+// TestTakenBackKeepsItsPlace: a job that was taken back may run all the same, so its place counts as taken for as long as one
+// runs; what ended otherwise leaves at once.
+func TestTakenBackKeepsItsPlace(t *testing.T) {
+	for _, o := range []Outcome{Revoked, Erred} {
+		w := newWorld(t, 1, basicTerms())
+		w.join(1, false)
+		w.arrive(0, 1, 2e8, 4e9)
+		e := w.open[0].Executor
+		w.d.Left(w.txns[0])
+		w.ended[w.txns[0]] = 1
+		w.end(w.open[0], o)
+		if kept := e.busy == 1; kept != (o == Revoked) {
+			t.Errorf("%v: %v slots are taken", o, e.busy)
+		}
+		w.pass(19e7)
+		if kept := e.busy == 1; kept != (o == Revoked) {
+			t.Errorf("%v: %v slots are taken just before it would have run", o, e.busy)
+		}
+		if w.pass(2e8); e.busy != 0 {
+			t.Errorf("%v: %v slots are taken for good", o, e.busy)
+		}
+	}
+}
+
 func TestHealth(t *testing.T) {
 	w := newWorld(t, 1, basicTerms())
 	w.join(1, false)
