An error blames its executor as far as such txns are served elsewhere

What an error blames can't be seen in one outcome: so the module keeps, by scheme and by what txns are about, how many that erred and went elsewhere were served there, fading in 10 s. Change: H falls by 1 - 0.7 x that chance (0.3 until something else is known, as the design has it), no score of 0 where it is under a half, and a txn that two executors answered with an error ends where it is under a tenth. Covers spoilt txns, a lock or store behind all executors, a scheme that fails everywhere; does harm where many executors fail at once, since two that agree then speak for all: two errors end a txn only where nine in ten were not served elsewhere. Test: a fleet of own with queues, executors that go on with what was taken back and clients that come again; a third on top errs wherever it goes for ten seconds.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -31,6 +31,7 @@
 	missing    = 1.5  // progress periods without a note that mean standing still; one late note is no proof
 	safety     = 0.55 // part of the cold budget that is used; nodes differ in what they take txns for
 	hopeless   = 0.5  // part of the billing value to be expected for a txn to wait on; an even chance
+	incurable  = 0.1  // chance to be served elsewhere under which two errors end a txn; a third is not worth it
 	behind     = 3.0  // jobs made late by one more job where there is no room; a short queue of them
 	overMark   = 1.3  // times the others' measure that a tenant may send; usage differs by tens of percent
 	turns      = 4    // parts of a fall window in which nodes take turns at the cold; a fifth is lost
@@ -57,22 +58,23 @@
 	fleet, drawn, near []*Executor // near and drawn are scratch space of homes and draw
 	queue              []*Txn
 	recent             map[family][]last
-	runs               []spread         // by scheme: running time over hint, or in seconds without one
-	large              float64          // what a large txn takes, in ns
-	works              spread           // size of txns, in seconds
-	prompt             int64            // least time seen from sending to the note of the start; 0: none seen
-	models             map[int]*model   // by kind of machine
-	keys               map[uint64]int   // of these txns, by what they are about
-	tenants, schemes   []ledger         // arrivals, and billing value
-	offs               []int64          // by which the latest txns were told less time than their schemes have
-	busy               float64          // slots of all open postings
-	pumped             bool             // an alarm to look at the queue is out
-	starts             map[bool]*ledger // by whether at home: postings whose start was due; the prompt ones
+	runs               []spread          // by scheme: running time over hint, or in seconds without one
+	large              float64           // what a large txn takes, in ns
+	works              spread            // size of txns, in seconds
+	prompt             int64             // least time seen from sending to the note of the start; 0: none seen
+	models             map[int]*model    // by kind of machine
+	keys               map[uint64]int    // of these txns, by what they are about
+	tenants, schemes   []ledger          // arrivals, and billing value
+	offs               []int64           // by which the latest txns were told less time than their schemes have
+	busy               float64           // slots of all open postings
+	pumped             bool              // an alarm to look at the queue is out
+	cures              map[topic]*ledger // txns that erred and went elsewhere, and those of them served there
+	starts             map[bool]*ledger  // by whether at home: postings whose start was due; the prompt ones
 }
 
 func New(terms *Terms, seed uint64, door Door, now int64) *Dispatcher {
 	d := &Dispatcher{terms: terms, door: door, born: now, now: now, chance: rand.New(rand.NewPCG(seed, 1)),
-		recent: map[family][]last{}, keys: map[uint64]int{}, models: map[int]*model{},
+		recent: map[family][]last{}, keys: map[uint64]int{}, models: map[int]*model{}, cures: map[topic]*ledger{},
 		starts: map[bool]*ledger{true: {}, false: {}}, runs: make([]spread, len(terms.Schemes)),
 		tenants: make([]ledger, len(terms.Tenants)), schemes: make([]ledger, len(terms.Schemes))}
 	if terms.Subscribe {
@@ -165,8 +167,8 @@
 	d.enqueue(t)
 }
 
-// till is when the txn's client gives up, the one notion of time left: as told, or where clocks may differ, so
-// much later or earlier as the latest first tries were told too little or too much. A wrong guess ends with a
+// till is when the txn's client gives up, the one notion of time left: as told, or where clocks differ, as much
+// later or earlier as the latest first tries were told too little or too much. A wrong guess ends with a
 // time-out. Danger: told too short all is declined at once; told too long, answers come too late.
 func (d *Dispatcher) till(t *Txn) int64 {
 	if d.terms.LeftMargin == 0 || t.Scheme.Expiry == 0 {
@@ -586,7 +588,7 @@
 	run, period := d.running(p.Txn, highEnd), d.terms.Progress
 	still := period > 0 && d.now-max(p.told, p.started, p.sent) > int64(missing*float64(period))
 	if still || d.now-max(p.sent, p.started) > int64(overrun*float64(run)) {
-		if d.blame(p); still || d.terms.MayDuplicate {
+		if d.blame(p, 1); still || d.terms.MayDuplicate {
 			d.copy(p)
 		}
 	}
@@ -637,11 +639,28 @@
 	}
 }
 
-// blame counts a posting as lost, once.
-func (d *Dispatcher) blame(p *Posting) {
+// cured is the chance that a txn which erred is served elsewhere, by its like: those about the same thing, and of
+// its scheme. So likely the executor was at fault; for certain until something else is known.
+func (d *Dispatcher) cured(t *Txn) float64 {
+	s, k := d.cure(t, 0).fade(d.now), d.cure(t, t.Key).fade(d.now)
+	return (k.earned + (s.earned+1)/(s.asked+1)) / (k.asked + 1)
+}
+
+func (d *Dispatcher) cure(t *Txn, key uint64) *ledger {
+	at := topic{t.Scheme, key}
+	if d.cures[at] == nil {
+		d.cures[at] = &ledger{at: d.now}
+	}
+	return d.cures[at]
+}
+
+// blame counts a posting as lost, once; in part where the executor is at fault by that part.
+func (d *Dispatcher) blame(p *Posting, part float64) {
 	if e := p.Executor; !p.blamed {
-		p.blamed, e.h, e.hAt = true, d.health(e)*penalty, d.now
-		d.rank(p, 0, true)
+		p.blamed, e.h, e.hAt = true, d.health(e)*(1-(1-penalty)*part), d.now
+		if part >= hopeless {
+			d.rank(p, 0, true)
+		}
 	}
 }
 
@@ -691,6 +710,17 @@
 	// Danger: of many nodes none has more than one or two txns at an executor, and takes it for that small.
 	e.model.slots = max(e.model.slots, p.Free)
 	p.unrun = o == Full || o == Undialed || o == Unsent
+	// Danger: a txn that errs wherever it goes, or what is behind all executors, takes the healthy ones out.
+	part, again := 1.0, t.erred != nil && t.erred != e
+	if o == Erred {
+		part, t.erred = d.cured(t), e
+	}
+	for i := 0; i < 2 && again && (o == Settled || o == Erred); i++ {
+		l := d.cure(t, t.Key*uint64(i)).fade(d.now)
+		if l.asked++; o == Settled {
+			l.earned++
+		}
+	}
 	switch o {
 	case Settled:
 		if !t.Over && d.now <= t.aim {
@@ -705,7 +735,7 @@
 		}
 	case Erred, TimedOut, Undialed, Broken, Stale: // Danger: a gone connection, at once, is no sick executor
 		if !p.withdrawn && (o != Stale || took > d.patience()) {
-			d.blame(p)
+			d.blame(p, part)
 		}
 	case Full:
 		// Danger: an executor that turns all away at once looks idle and draws everything; its limit falls as well.
@@ -714,8 +744,8 @@
 	}
 	if over {
 		d.Left(t)
-	} else if o == TimedOut && p.Limit == 0 { // Danger: its client has given up, whatever was told
-		d.finish(t)
+	} else if o == TimedOut && p.Limit == 0 || again && o == Erred && part < incurable {
+		d.finish(t) // its client has given up, whatever was told; or it errs wherever it goes
 	}
 	p.then()
 }
--- /dev/null
+++ b/dispatch/recovery_test.go
@@ -0,0 +1,222 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+)
+
+// town is many nodes before executors that serve in order, and clients that come again: what a jam needs to feed itself.
+// A job that is taken back runs all the same, as the terms do not tell whether it does.
+type town struct {
+	*rand.Rand
+	terms   *Terms
+	now     int64
+	nodes   []*townNode
+	workers []*worker
+	later   []*alarm
+	error   func(t *Txn, e int) bool // whether a job ends at once with an error there
+	work    func() int64
+	offered [200]int // by second
+	inTime  [200]int
+}
+
+// worker is an executor with slots and a queue.
+type worker struct {
+	slots   int
+	running int
+	slow    int64 // times that a job takes
+	queue   []func()
+}
+
+// townNode is the Door of one node.
+type townNode struct {
+	*town
+	d        *Dispatcher
+	fleet    []*Executor
+	sent     map[*Posting]int64
+	done     map[*Txn]func(work int64) // with the time it ran for; 0: not served
+	posts    int                       // postings, ever
+	declined int
+}
+
+func (n *townNode) Post(p *Posting) {
+	n.posts++
+	n.sent[p] = n.now
+	w, i, t := n.workers[slices.Index(n.fleet, p.Executor)], slices.Index(n.fleet, p.Executor), p.Txn
+	work := n.work()
+	end := func(o Outcome) {
+		if !p.Open {
+			return
+		}
+		over := t.Over || o == Settled
+		if o == Settled && !t.Over {
+			n.done[t](work)
+		}
+		n.d.Ended(p, o, n.now-n.sent[p], over)
+	}
+	if n.error != nil && n.error(t, i) {
+		n.after(2e6, func() { end(Erred) })
+		return
+	}
+	next := func() {}
+	next = func() {
+		for w.running < w.slots && len(w.queue) > 0 {
+			w.running++
+			job := w.queue[0]
+			w.queue = w.queue[1:]
+			job()
+		}
+	}
+	w.queue = append(w.queue, func() {
+		if p.Open {
+			n.d.Started(p)
+		}
+		n.after(work*w.slow, func() {
+			w.running--
+			end(Settled)
+			next()
+		})
+	})
+	n.after(1e6, next)
+}
+
+func (n *townNode) Withdraw(p *Posting) {
+	n.after(1e6, func() {
+		if p.Open {
+			n.d.Ended(p, Revoked, n.now-n.sent[p], true)
+		}
+	})
+}
+func (n *townNode) Decline(t *Txn, _ int64) { n.declined++; n.done[t](0) }
+func (n *townNode) Reverse(t *Txn)          { n.done[t](0) }
+func (n *townNode) Watch(bool)              {}
+func (n *townNode) Tell(*Executor, float64) {}
+func (n *townNode) Probe(*Executor)         {}
+func (n *townNode) Alarm(after int64, then func()) (forget func()) {
+	a := n.after(max(after, 1), then)
+	return func() { a.then = func() {} }
+}
+
+// after has something happen later, with the clock of all nodes set.
+func (h *town) after(span int64, then func()) *alarm {
+	a := &alarm{h.now + span, then}
+	i, _ := slices.BinarySearchFunc(h.later, a.at+1, func(b *alarm, at int64) int { return int(min(max(b.at-at, -1), 1)) })
+	h.later = slices.Insert(h.later, i, a)
+	return a
+}
+
+func newTown(seed uint64, nodes, workers, slots int, terms *Terms) *town {
+	h := &town{Rand: rand.New(rand.NewPCG(seed, 3)), terms: terms, now: 1e12, work: func() int64 { return 2e8 }}
+	for range workers {
+		h.workers = append(h.workers, &worker{slots: slots, slow: 1})
+	}
+	for i := range nodes {
+		own := *terms
+		own.Me, own.Nodes = i, nodes
+		n := &townNode{town: h, sent: map[*Posting]int64{}, done: map[*Txn]func(int64){}}
+		n.d = New(&own, h.Uint64(), n, h.now)
+		var members []Member
+		for j := range workers {
+			n.fleet = append(n.fleet, &Executor{Mark: Mark("e" + strconv.Itoa(j))})
+			members = append(members, Member{Executor: n.fleet[j], Units: 1})
+		}
+		n.d.List(true, members)
+		h.nodes = append(h.nodes, n)
+	}
+	return h
+}
+
+// arrive takes a txn; where it is not served in time its client comes again after a while, so many times.
+func (h *town) arrive(again int, first int64, key uint64) {
+	n, s := h.nodes[h.IntN(len(h.nodes))], h.terms.Schemes[0]
+	t := &Txn{Scheme: s, Slots: 1, Key: key, Expiry: first + s.Expiry}
+	from := first - 1e12
+	n.done[t] = func(work int64) {
+		if delete(n.done, t); work > 0 && h.now-first <= s.SlaTime+int64(s.Stretch)*work {
+			h.inTime[from/1e9]++
+		} else if work == 0 && again > 0 {
+			h.after(3e7+h.Int64N(3e7), func() {
+				if h.now < first+s.Expiry {
+					h.arrive(again-1, first, key)
+				}
+			})
+		}
+	}
+	n.d.Arrive(t)
+}
+
+// pass lets time go by at a rate of txns a second; key gives what each is about.
+func (h *town) pass(span int64, rate float64, key func() uint64) {
+	end := h.now + span
+	var next func()
+	next = func() {
+		if h.now < end {
+			h.offered[(h.now-1e12)/1e9]++
+			h.arrive(2, h.now, key())
+			h.after(int64(h.ExpFloat64()/rate*1e9)+1, next)
+		}
+	}
+	h.after(1, next)
+	for h.now < end {
+		tick := h.now + h.terms.Tick
+		for len(h.later) > 0 && h.later[0].at <= tick {
+			a := h.later[0]
+			h.later = h.later[1:]
+			h.now = max(h.now, a.at)
+			for _, n := range h.nodes {
+				n.d.At(h.now)
+			}
+			a.then()
+		}
+		h.now = tick
+		for _, n := range h.nodes {
+			n.d.At(h.now)
+			n.d.Settle()
+		}
+	}
+}
+
+// served is the part that was served in time of what came in seconds from to.
+func (h *town) served(from, to int) float64 {
+	offered, inTime := 0, 0
+	for i := from; i < to; i++ {
+		offered, inTime = offered+h.offered[i], inTime+h.inTime[i]
+	}
+	return float64(inTime) / float64(max(offered, 1))
+}
+
+func townTerms() *Terms {
+	return &Terms{Nodes: 5, Tick: 5e6, TellsStart: true, MostPostings: 6, MayCancel: true, Schemes: []*Scheme{
+		{SlaTime: 2e8, Stretch: 2, Expiry: 5e9, Value: 1, Kind: -1}}}
+}
+
+func noKey() uint64 { return 0 }
+
+// TestServiceComesBack: for ten seconds a third comes on top that errs wherever it goes, and clients come again. The others
+// are served meanwhile, and five seconds after it is over service is what it was before.
+// Danger: errors take healthy executors out, what waits there is taken back, runs all the same, and the jam stays for good.
+func TestServiceComesBack(t *testing.T) {
+	for seed := range uint64(4) {
+		h := newTown(seed, 5, 16, 6, townTerms())
+		h.work = func() int64 { return 5e7 + int64(h.ExpFloat64()*1.5e8) }
+		spoilt := map[*Txn]bool{}
+		h.error = func(t *Txn, _ int) bool {
+			if _, known := spoilt[t]; !known {
+				spoilt[t] = h.now > 1e12+10e9 && h.now < 1e12+20e9 && h.IntN(10) < 3
+			}
+			return spoilt[t]
+		}
+		full := 16 * 6 / 0.2
+		h.pass(10e9, 0.85*full, noKey)
+		h.pass(10e9, 1.2*full, noKey)
+		h.pass(15e9, 0.85*full, noKey)
+		before, during, after := h.served(5, 10), h.served(12, 20)/0.7, h.served(25, 34)
+		if after < 0.95*before || before < 0.9 || during < 0.5 {
+			t.Errorf("in seed %d: %.2f before, %.2f during, %.2f after", seed, before, during, after)
+		}
+	}
+}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -142,14 +142,15 @@
 	Over     bool // the final answer is given, or the client has left
 
 	arrived, aim int64
-	value        float64 // billing value when in time
-	size         float64 // slots times expected work
-	earns        float64 // billing value for each unit of size that can be expected now
-	live         int     // postings out and not withdrawn
-	rounds       int     // of asking for room
-	look, looks  int64   // when room is looked for again, and how often that was in vain
-	queued, over bool    // over: beyond its tenant's share
-	forget       func()  // releases the alarm of its expiry
+	value        float64   // billing value when in time
+	size         float64   // slots times expected work
+	earns        float64   // billing value for each unit of size that can be expected now
+	live         int       // postings out and not withdrawn
+	erred        *Executor // where it ended in an error last
+	rounds       int       // of asking for room
+	look, looks  int64     // when room is looked for again, and how often that was in vain
+	queued, over bool      // over: beyond its tenant's share
+	forget       func()    // releases the alarm of its expiry
 }
 
 // Posting is one sending of a txn to an executor.
@@ -234,6 +235,12 @@
 	slots  float64
 }
 
+// topic is what txns have in common that may be to blame for an error in place of an executor.
+type topic struct {
+	scheme *Scheme
+	key    uint64
+}
+
 // Mark turns a name that all nodes know an executor by into a number by chance that all of them share.
 func Mark(name string) uint64 {
 	h := fnv.New64a()
