--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -167,8 +167,8 @@
 	d.enqueue(t)
 }
 
-// till is when the txn's client gives up, the one notion of time left: as told, or where clocks differ, later or
-// earlier by as much as the latest first tries were told too little or too much. A wrong guess ends with a
+// till is when the txn's client gives up, the one notion of time left: as told, or where clocks differ, later
+// or earlier by as much as the latest first tries were told too little or too much. A wrong guess ends with a
 // time-out. Danger: told too short all is declined at once; told too long, answers come too late.
 func (d *Dispatcher) till(t *Txn) int64 {
 	if d.terms.LeftMargin == 0 || t.Scheme.Expiry == 0 {
@@ -639,8 +639,8 @@
 	}
 }
 
-// cured is the chance that a txn which erred is served elsewhere, by its like: what is about the same thing, and
-// its scheme. So likely was the executor at fault; for certain until something else is known.
+// cured is the chance that a txn which erred is served elsewhere, by its like: what is about the same thing,
+// and its scheme. So likely was the executor at fault; for certain until something else is known.
 func (d *Dispatcher) cured(t *Txn) float64 {
 	s, k := d.cure(t, 0).fade(d.now), d.cure(t, t.Key).fade(d.now)
 	return (k.earned + (s.earned+1)/(s.asked+1)) / (k.asked + 1)
