A home that is crowded by the list gives way to one more that stands by

A tap of the wire: txns leave their node at once, run 0.3 to 0.4 s, but wait 2.0 to 2.4 s for their start in one of ten (median 0.2 s). At fault: homes, which holds a thing to one or two executors however full they are; no node sees their load, the list does (live). Change: where the list tells of load, one more home stands by for one that holds more than a txn for each unit and a fifth over the mean. Covers any uneven popularity of things, slow machines and busy neighbours among homes; does harm where a store jams and the list is old. Test: a crowded pair of homes gets one more and no third; fails without.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -35,6 +35,7 @@
 	behind     = 3.0  // jobs made late by one more job where there is no room; a short queue of them
 	overMark   = 1.3  // times the others' measure that a tenant may send; usage differs by tens of percent
 	turns      = 4    // parts of a fall window in which nodes take turns at the cold; a fifth is lost
+	crowded    = 1.2  // times the mean load by the list from which a home gives way; word is a second old
 	dear       = 0.02 // price of a crossing from which home goes first; under it a late answer costs more
 	leave      = 0.5  // factor on executors of a kind that other schemes need, which can go nowhere else
 	spare      = 0.25 // share of late starts up to which a thing has a second home; one in a jam, or all fetch
@@ -66,6 +67,7 @@
 	keys               map[uint64]int    // of these txns, by what they are about
 	tenants, schemes   []ledger          // arrivals, and billing value
 	offs               []int64           // by which the latest txns were told less time than their schemes have
+	load               float64           // sum of what executors hold by the list, for each unit of size
 	busy               float64           // slots of all open postings
 	pumped             bool              // an alarm to look at the queue is out
 	cures              map[topic]*ledger // txns that erred and went elsewhere, and those of them served there
@@ -110,8 +112,11 @@
 		e.known, e.State, e.since, e.model = true, m.State, m.Since, d.models[m.Kind]
 		e.zone, e.kind, e.cell = m.Zone, m.Kind, m.Cell
 	}
+	d.load = 0
 	d.fleet = slices.DeleteFunc(d.fleet, func(e *Executor) bool {
-		e.known = e.State != Gone
+		if e.known = e.State != Gone; e.known {
+			d.load += e.size/e.left - 1
+		}
 		return !e.known
 	})
 }
@@ -479,7 +484,12 @@
 // Danger: what an executor must fetch for each txn jams the store for all, and the jam feeds itself.
 func (d *Dispatcher) homes(t *Txn, roam bool) []*Executor {
 	count := 1 + int(d.prompts(true)+spare) + (len(d.fleet)*max(d.keys[t.Key]-1, 0)+d.counted/2)/d.counted
-	d.near = d.near[:0]
+	// Danger: of the things of one executor some are asked for at once, and what waits there is late. But a
+	// thing that goes on from one to the next is fetched everywhere: one more stands by, for a crowded home.
+	few := count
+	if d.near = d.near[:0]; d.terms.Live {
+		count++
+	}
 	for _, e := range d.fleet {
 		luck := float64(rand.NewPCG(t.Key, e.Mark).Uint64()>>11+1) / (1 << 53)
 		if e.wait = -math.Log(luck) / e.size; t.Scheme.Kind < 0 && e.model.bound {
@@ -495,7 +505,7 @@
 			continue
 		}
 		if e.wait == 0 {
-			count++
+			count, few = count+1, few+1
 		}
 		i, _ := slices.BinarySearchFunc(d.near, e, byWait)
 		d.near = slices.Insert(d.near, i, e)
@@ -503,7 +513,14 @@
 	if len(d.near) == 0 {
 		return d.fleet
 	}
-	return d.near[:min(count, len(d.near))]
+	d.near = d.near[:min(count, len(d.near))]
+	for _, e := range d.near {
+		if d.terms.Live && e.wait > 0 && e.size/e.left-1 > max(crowded*d.load/float64(len(d.fleet)), 1) {
+			e.wait += 2e9
+		}
+	}
+	slices.SortStableFunc(d.near, byWait)
+	return d.near[:min(few, len(d.near))]
 }
 
 func byWait(a, b *Executor) int { return cmp.Compare(a.wait, b.wait) }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"maps"
 	"strconv"
 	"testing"
 )
@@ -522,6 +523,56 @@
 	}
 }
 
+// TestCrowdedHomeGivesWay: where the list tells of load, a thing leaves a home that holds more than most, for one more executor
+// and no third.
+func TestCrowdedHomeGivesWay(t *testing.T) {
+	terms := basicTerms()
+	terms.Live = true
+	w := newWorld(t, 7, terms)
+	w.join(12, false)
+	for i, m := range w.fleet {
+		m.Executor.Mark, m.Units = Mark("e"+strconv.Itoa(i)), 4
+	}
+	w.list(true)
+	met := func() map[*Executor]int {
+		n := map[*Executor]int{}
+		for i := range 120 { // about forty things
+			tx := &Txn{Scheme: terms.Schemes[0], Slots: 1, Hint: 1e8, Expiry: w.now + 9e9, Key: uint64(2 + i%40)}
+			w.txns = append(w.txns, tx)
+			w.d.Arrive(tx)
+			w.d.Settle()
+			if i%40 == 1 {
+				n[w.open[0].Executor]++
+			}
+			w.settle()
+		}
+		return n
+	}
+	homes := met()
+	for range 4 {
+		maps.Copy(homes, met())
+	}
+	for _, m := range w.fleet {
+		if _, is := homes[m.Executor]; is {
+			m.Units = 1
+		}
+	}
+	w.list(true)
+	now := met()
+	for range 4 {
+		maps.Copy(now, met())
+	}
+	fresh := 0
+	for e := range now {
+		if _, is := homes[e]; !is {
+			fresh++
+		}
+	}
+	if len(homes) != 2 || len(now) > 3 || fresh != 1 {
+		t.Errorf("%d homes, then %d, of these %d new", len(homes), len(now), fresh)
+	}
+}
+
 // TestHomesInAllZones: where a fetch is priced above a crossing, nodes of two zones meet on the same home of a thing; where
 // crossing is dearer each zone has its own.
 func TestHomesInAllZones(t *testing.T) {
