Each late start in a row halves what is left to an executor of its kind's slots

By executor (tap, 17 to 45 s): some 24 of 100, nearly all large ones, had 80 to 98% of 200 to 440 postings withdrawn, the other 76 next to none; they had spent their allowance. Ruled out: cold ones (87 of 4,400 withdrawn under 20 s of age), zones. At fault: watch, which leaves each of 20 nodes its part of the most slots that one of the kind ever ran, so that the slowed were sent 13 a second for good: judged by their best. Covers any slowing that lasts; does harm where many starts are late by chance, for seconds.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -573,11 +573,11 @@
 		return
 	}
 	d.judge(p, d.tolerated(p), func() {
-		if p.started == 0 {
-			// Danger: machines of many slots stand half empty. Late starts leave each node its part of what one ran.
-			least := min(p.Executor.limit, p.Executor.model.slots/float64(max(d.terms.Nodes, 1)))
-			d.adjust(p, p.Executor.busy, false)
-			p.Executor.room, p.Executor.limit = 0, max(p.Executor.limit, least)
+		if e := p.Executor; p.started == 0 {
+			// Danger: many slots stand half empty, or one that slowed is judged by its best. Late in a row, ever less.
+			least := min(e.limit, e.model.slots/float64(max(d.terms.Nodes, 1))*math.Exp2(-e.late))
+			d.adjust(p, e.busy, false)
+			e.room, e.limit, e.late = 0, max(e.limit, least), e.late+1
 			d.awaitStart(p)
 		}
 	})
@@ -642,7 +642,7 @@
 		return
 	}
 	// Danger: executors that turn part away though not full stand empty. A full one would not start at once.
-	e.limit, e.room = max(e.limit, e.room), 0
+	e.limit, e.room, e.late = max(e.limit, e.room), 0, 0
 	if busy+1 >= e.limit {
 		e.limit += growth * min(e.limit, 1)
 	}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -198,6 +198,7 @@
 
 	gate
 	atWork float64 // of these, slots of started ones
+	late   float64 // starts in a row that came late
 	room   float64 // what it was before refusals cut it, until a start is late
 	sends  []charge
 }
