Emulator of a fleet in virtual time, with faults, baselines and fernlab emulate

Change: internal/emulator (one event queue; executors, nodes with the module through Door, discovery, clients, network, twelve kinds of faults that overlap, five baselines outside the module), scenarios in TOML by a library with units checked, service figures from the log in internal/judge, sub-commands emulate and scenario check, two example scenarios. Seen: mean waits within 0.1 of theory for M/M/1, M/D/1 and M/M/4; same seed, same log to the byte; no rule broken by the module on random worlds; for each rule a wrong policy is named from the log. Not there yet, and said so: load reports, probes, overloaded discovery, the socket edition, load, experiment, report.

--- a/cmd/fernlab/judge_test.go
+++ b/cmd/fernlab/judge_test.go
@@ -3,7 +3,9 @@
 package main
 
 import (
+	"bytes"
 	"errors"
+	"os"
 	"strings"
 	"testing"
 )
@@ -37,3 +39,25 @@
 		}
 	}
 }
+
+// TestEmulatedLogIsJudged: the log that emulate writes is one that judge reads, and both end alike.
+func TestEmulatedLogIsJudged(t *testing.T) {
+	log := t.TempDir() + "/log"
+	var out bytes.Buffer
+	c := &emulate{Scenario: "../../example/scenarios/troubles.toml", Seed: 2, Policy: "two-choices", Log: log, Max: 1}
+	played := c.play(&out)
+	f, err := os.Open(log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	held := (&judged{Log: log, Max: 1}).hold(f, &out)
+	if (played == nil) != (held == nil) || !strings.Contains(out.String(), "in time") || !strings.Contains(out.String(), " events, ") {
+		t.Errorf("played: %v, judged: %v\n%s", played, held, out.String())
+	}
+	c.Policy = "best"
+	var v verdict
+	if err := c.play(&out); !errors.As(err, &v) || v.code != 2 {
+		t.Errorf("an unknown policy: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/emulator/node.go
@@ -0,0 +1,377 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package emulator
+
+import (
+	"slices"
+	"strconv"
+
+	"fernrail/dispatch"
+	"fernrail/internal/judge"
+)
+
+// Policy makes what decides on one node. The decision module is one; baselines are others.
+type Policy func(terms *dispatch.Terms, seed uint64, door dispatch.Door, now int64, truth func(*dispatch.Executor) float64) Decider
+
+// Decider is what a node calls, as docs of the module tell.
+type Decider interface {
+	At(now int64)
+	List(whole bool, members []dispatch.Member)
+	Arrive(*dispatch.Txn)
+	Left(*dispatch.Txn)
+	Started(*dispatch.Posting)
+	Progress(*dispatch.Posting)
+	Ended(p *dispatch.Posting, o dispatch.Outcome, took int64, over bool)
+	Settle()
+}
+
+// node is one dispatcher process with its connections. It carries out what its decider says and decides nothing.
+type node struct {
+	world    *world
+	index    int
+	zone     int
+	name     string
+	policy   Policy
+	up       bool
+	watches  bool
+	lives    int
+	had      int // version of the list
+	free     int64
+	decider  Decider
+	fleet    []*dispatch.Executor // by the world's order
+	idle     [][]int64            // kept connections by executor: until when each stays
+	txns     map[*dispatch.Txn]*held
+	out      map[*dispatch.Posting]*flight
+	settling bool
+	schemes  []*dispatch.Scheme // as its decider has them
+}
+
+// held is a txn that the node owes an answer.
+type held struct {
+	request *request
+	number  int
+}
+
+// flight is one posting on its way.
+type flight struct {
+	job  *job
+	life int // of the executor that the connection is to
+	sent int64
+	over bool
+}
+
+func (n *node) start(seed uint64) {
+	w := n.world
+	n.up, n.lives, n.had = true, n.lives+1, 0
+	n.txns, n.out = map[*dispatch.Txn]*held{}, map[*dispatch.Posting]*flight{}
+	n.fleet, n.idle = nil, make([][]int64, len(w.executors))
+	for _, e := range w.executors {
+		n.fleet = append(n.fleet, &dispatch.Executor{Tag: e.id, Mark: dispatch.Mark(e.id)})
+	}
+	terms := w.s.terms(n)
+	truth := func(x *dispatch.Executor) float64 {
+		e := w.executors[slices.Index(n.fleet, x)]
+		if !e.up || e.hung || e.draining {
+			return 1e9
+		}
+		return (float64(e.slots+len(e.waiting)) + 1) / (float64(e.kind.Slots) * e.speed * e.warmth() / max(e.slow, 1))
+	}
+	n.decider = n.policy(terms, seed+uint64(n.index)*1e9+uint64(n.lives), n, w.now, truth)
+	n.watches = true
+	n.listed()
+}
+
+func (n *node) kill() {
+	if !n.up {
+		return
+	}
+	n.up = false
+	n.lives++
+	n.world.log(judge.Event{Kind: judge.Killed, Node: n.name})
+	inOrder := make([]*held, 0, len(n.txns))
+	for _, h := range n.txns {
+		inOrder = append(inOrder, h)
+	}
+	slices.SortFunc(inOrder, func(a, b *held) int { return a.number - b.number })
+	for _, h := range inOrder {
+		n.world.reply(n, h.request, reset)
+	}
+	n.txns, n.out = nil, nil
+	for i := range n.idle {
+		n.world.executors[i].connections -= min(len(n.idle[i]), n.world.executors[i].connections)
+	}
+	n.idle = nil
+}
+
+// event hands the decider one thing when the node's processor gets to it.
+func (n *node) event(step func()) {
+	w, life := n.world, n.lives
+	n.free = max(n.free, w.now) + int64(w.s.Fleet.Decision)
+	do := func() {
+		if n.up && n.lives == life {
+			n.decider.At(w.now)
+			step()
+			n.settle()
+		}
+	}
+	if n.free == w.now {
+		do()
+	} else {
+		w.after(n.free-w.now, do)
+	}
+}
+
+// settle ends a round within a tick, once for all that came in it.
+func (n *node) settle() {
+	if n.settling {
+		return
+	}
+	n.settling = true
+	life := n.lives
+	tick := int64(n.world.s.Fleet.Tick)
+	n.world.after(tick-(n.world.now-epoch)%tick, func() {
+		if n.settling = false; n.up && n.lives == life {
+			n.decider.At(n.world.now)
+			n.decider.Settle()
+		}
+	})
+}
+
+// listed brings the node what discovery knows now.
+func (n *node) listed() {
+	w := n.world
+	n.had = w.version
+	members := slices.Clone(w.listing)
+	for i := range members {
+		members[i].Executor = n.fleet[i]
+		word := []string{"up", "draining", "gone"}[members[i].State]
+		w.log(judge.Event{Kind: judge.Told, Node: n.name, Executor: w.executors[i].id, Result: word})
+	}
+	members = slices.DeleteFunc(members, func(m dispatch.Member) bool { return m.State == dispatch.Gone })
+	n.event(func() { n.decider.List(true, members) })
+}
+
+// take is a request that has been read whole.
+func (n *node) take(q *request) {
+	w := n.world
+	if !n.up {
+		w.reply(n, q, reset)
+		return
+	}
+	w.taken++
+	q.id = "t" + strconv.Itoa(w.taken)
+	s := q.scheme
+	t := &dispatch.Txn{Tag: q.id, Tenant: q.tenant, Slots: float64(s.Slots), Key: q.key, Expiry: q.expiry, Scheme: w.schemeOf(n, s)}
+	if w.s.Crowd.Hints {
+		t.Hint = int64(q.work / float64(s.Slots))
+	}
+	n.txns[t] = &held{q, w.taken}
+	tenant := ""
+	if len(w.s.Tenant) > 0 {
+		tenant = w.s.Tenant[q.tenant].Name
+	}
+	w.log(judge.Event{Kind: judge.Taken, Node: n.name, Txn: q.id, Scheme: s.Name, Expiry: q.expiry, Client: q.origin.id, Aim: q.origin.aim, First: q.origin.first, Value: q.origin.value, Tenant: tenant})
+	n.event(func() { n.decider.Arrive(t) })
+	w.after(q.expiry-w.now, func() { n.timeOut(t) })
+	w.after(q.expiry-w.now+int64(w.s.Rules.Slack), func() { n.drop(t) })
+}
+
+// drop ends a txn whose client has gone; that is the client's end, not an answer.
+func (n *node) drop(t *dispatch.Txn) {
+	if h := n.txns[t]; h != nil {
+		delete(n.txns, t)
+		n.event(func() { n.decider.Left(t) })
+	}
+}
+
+// timeOut ends what is out for a txn at its expiry.
+func (n *node) timeOut(t *dispatch.Txn) {
+	for _, p := range t.Postings {
+		if f := n.out[p]; f != nil {
+			n.heardEnd(p, slices.Index(n.fleet, p.Executor), f, dispatch.TimedOut)
+		}
+	}
+}
+
+// answer gives the final answer.
+func (n *node) answer(t *dispatch.Txn, result string) {
+	h := n.txns[t]
+	n.world.log(judge.Event{Kind: judge.Answered, Txn: t.Tag, Result: result})
+	if h == nil {
+		return
+	}
+	delete(n.txns, t)
+	n.world.reply(n, h.request, result)
+}
+
+// Decline implements dispatch.Door, as do the methods after it.
+func (n *node) Decline(t *dispatch.Txn, returnIn int64) {
+	if h := n.txns[t]; h != nil {
+		h.request.advice = returnIn
+	}
+	n.answer(t, declined)
+}
+func (n *node) Reverse(t *dispatch.Txn)          { n.answer(t, reversed) }
+func (n *node) Tell(*dispatch.Executor, float64) {}
+func (n *node) Probe(*dispatch.Executor)         {}
+func (n *node) Watch(on bool) {
+	if n.watches = on; on && n.decider != nil {
+		n.world.news(n)
+	}
+}
+
+func (n *node) Alarm(after int64, then func()) (forget func()) {
+	life := n.lives
+	e := n.world.after(max(after, 1), func() {
+		if n.up && n.lives == life {
+			n.event(then)
+		}
+	})
+	return func() { e.off = true }
+}
+
+// Post sends a posting over a kept connection, or a new one if there is none.
+func (n *node) Post(p *dispatch.Posting) {
+	w := n.world
+	i := slices.Index(n.fleet, p.Executor)
+	e, h := w.executors[i], n.txns[p.Txn]
+	f := &flight{sent: w.now}
+	n.out[p] = f
+	n.idle[i] = slices.DeleteFunc(n.idle[i], func(till int64) bool {
+		if till < w.now {
+			e.connections = max(e.connections-1, 0)
+		}
+		return till < w.now
+	})
+	if h == nil {
+		n.event(func() { n.ended(p, i, dispatch.Unsent) })
+		return
+	}
+	w.postings++
+	w.log(judge.Event{Kind: judge.Posted, Txn: p.Txn.Tag, Posting: p.Number, Executor: e.id, Work: h.request.work / 1e9})
+	f.job = &job{txn: h.request, slots: h.request.scheme.Slots, left: h.request.work / float64(h.request.scheme.Slots), posting: p.Number}
+	f.job.tell = func(what line) { w.send(e.zone, n.zone, func() { n.heard(p, i, f, what) }) }
+	request := func() { w.send(n.zone, e.zone, func() { e.take(f.job) }) }
+	if k := len(n.idle[i]); k > 0 {
+		n.idle[i] = n.idle[i][:k-1]
+		if !e.up {
+			w.send(n.zone, e.zone, func() { f.job.tell(lineReset) })
+			return
+		}
+		request()
+		return
+	}
+	w.handshakes++
+	refused := func() { w.send(e.zone, n.zone, func() { n.heardEnd(p, i, f, dispatch.Undialed) }) }
+	n.world.after(int64(w.s.Net.Dial), func() {
+		if f.life == 0 {
+			n.heardEnd(p, i, f, dispatch.Undialed)
+		}
+	})
+	w.send(n.zone, e.zone, func() {
+		switch {
+		case e.hung: // no answer to the handshake
+		case !e.up || e.connections >= e.kind.Connections:
+			refused()
+		default:
+			e.connections++
+			e.shake()
+			w.send(e.zone, n.zone, func() {
+				if f.over {
+					e.connections = max(e.connections-1, 0)
+					return
+				}
+				f.life = e.lives + 1
+				request()
+			})
+		}
+	})
+}
+
+// shake is the work of a new connection, which the running jobs pay for.
+func (e *executor) shake() {
+	if cost := float64(e.kind.Handshake) * e.speed; cost > 0 && len(e.running) > 0 {
+		e.work()
+		for _, j := range e.running {
+			j.left += cost / float64(len(e.running)) / max(e.kind.Cores, 1)
+		}
+		e.plan()
+	}
+}
+
+// heard is a line from an executor.
+func (n *node) heard(p *dispatch.Posting, i int, f *flight, what line) {
+	switch what {
+	case lineStarted:
+		n.note(p, f, func() { n.decider.Started(p) })
+	case lineProgress:
+		n.note(p, f, func() { n.decider.Progress(p) })
+	default:
+		n.heardEnd(p, i, f, map[line]dispatch.Outcome{lineDone: dispatch.Settled, lineError: dispatch.Erred, lineFull: dispatch.Full, lineReset: dispatch.Broken}[what])
+	}
+}
+
+func (n *node) note(p *dispatch.Posting, f *flight, step func()) {
+	if n.up && n.out[p] == f && !f.over {
+		n.event(func() {
+			if !f.over {
+				step()
+			}
+		})
+	}
+}
+
+// heardEnd is a posting's one outcome.
+func (n *node) heardEnd(p *dispatch.Posting, i int, f *flight, o dispatch.Outcome) {
+	if !n.up || n.out[p] != f || f.over {
+		return
+	}
+	f.over = true
+	if o == dispatch.Settled || o == dispatch.Erred || o == dispatch.Full {
+		n.idle[i] = append(n.idle[i], n.world.now+int64(n.world.s.Net.Idle))
+	} else if f.life > 0 {
+		n.world.executors[i].connections = max(n.world.executors[i].connections-1, 0)
+	}
+	n.event(func() { n.ended(p, i, o) })
+}
+
+func (n *node) ended(p *dispatch.Posting, _ int, o dispatch.Outcome) {
+	f := n.out[p]
+	delete(n.out, p)
+	n.world.log(judge.Event{Kind: judge.Ended, Txn: p.Txn.Tag, Posting: p.Number, Result: o.String()})
+	if o == dispatch.Settled && n.txns[p.Txn] != nil {
+		n.answer(p.Txn, settled)
+	}
+	n.decider.Ended(p, o, n.world.now-f.sent, n.txns[p.Txn] == nil)
+}
+
+// Withdraw takes a posting back; the executor hears of it over the network.
+func (n *node) Withdraw(p *dispatch.Posting) {
+	f := n.out[p]
+	if f == nil || f.over {
+		return
+	}
+	i := slices.Index(n.fleet, p.Executor)
+	if f.job != nil {
+		n.world.send(n.zone, n.world.executors[i].zone, func() { n.world.executors[i].forget(f.job) })
+	}
+	n.heardEnd(p, i, f, dispatch.Revoked)
+}
+
+// terms are the settings as the node is handed them.
+func (s *Scenario) terms(n *node) *dispatch.Terms {
+	t := &dispatch.Terms{Zone: n.zone, Nodes: s.Fleet.Nodes, Me: n.index, Tick: int64(s.Fleet.Tick), TellsStart: s.Rules.Started,
+		Progress: int64(s.Rules.Progress), MostPostings: s.Rules.Postings, MayCancel: true, MayDuplicate: s.Rules.Doubles,
+		MaxReturn: int64(s.Rules.Return), IdleClose: int64(s.Net.Idle), ColdShare: s.Rules.ColdShare, Cold: int64(s.Rules.Cold),
+		Fall: int64(s.Rules.Fall), FallMultiple: s.Rules.FallMultiple, Grace: int64(s.Rules.Grace), OverValue: 1}
+	for i := range s.Scheme {
+		c := &s.Scheme[i]
+		t.Schemes = append(t.Schemes, &dispatch.Scheme{Index: i, SlaTime: int64(c.Sla), Expiry: int64(c.Expiry), Stretch: c.Stretch,
+			Value: c.Value, LateValue: c.Late, Effect: effectOf(c.Effect), Memory: int64(c.Memory), Kind: -1})
+	}
+	for _, c := range s.Tenant {
+		t.Tenants = append(t.Tenants, &dispatch.Tenant{Share: c.Share})
+	}
+	n.schemes = t.Schemes
+	return t
+}
--- /dev/null
+++ b/internal/emulator/wrong_test.go
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package emulator
+
+import (
+	"slices"
+	"testing"
+
+	"fernrail/dispatch"
+)
+
+// mute is a door on which some answers are lost.
+type mute struct{ dispatch.Door }
+
+func (mute) Decline(*dispatch.Txn, int64) {}
+func (mute) Reverse(*dispatch.Txn)        {}
+
+// deaf hears the list once.
+type deaf struct {
+	Decider
+	heard bool
+}
+
+func (d *deaf) List(whole bool, members []dispatch.Member) {
+	if !d.heard {
+		d.heard = true
+		d.Decider.List(whole, members)
+	}
+}
+
+// TestWrongPoliciesAreCaught: for each rule a policy that breaks it is named by the judge, from the log alone, and the same
+// without that fault is not.
+func TestWrongPoliciesAreCaught(t *testing.T) {
+	plain := func(name string) Policy {
+		p, err := PolicyOf(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	repeats := func(terms *dispatch.Terms) *dispatch.Terms {
+		for _, s := range terms.Schemes { // as the node has them
+			s.Effect = dispatch.Repeatable
+		}
+		return terms
+	}
+	for _, c := range []struct {
+		what   string
+		rule   int // 0: none
+		faults []Fault
+		policy Policy
+	}{
+		{"keeps them", 0, []Fault{{Kind: "errors", At: Span(2e9), For: Span(3e9), Part: 0.5, Strength: 0.5}}, plain("random")},
+		{"forgets answers", 1, []Fault{{Kind: "hang", At: Span(2e9), For: Span(5e9), Part: 0.5}},
+			func(terms *dispatch.Terms, seed uint64, door dispatch.Door, now int64, truth func(*dispatch.Executor) float64) Decider {
+				return plain("random")(terms, seed, mute{door}, now, truth)
+			}},
+		{"repeats what must not run twice", 2, []Fault{{Kind: "errors", At: Span(2e9), For: Span(3e9), Part: 0.5, Strength: 0.5}},
+			func(terms *dispatch.Terms, seed uint64, door dispatch.Door, now int64, truth func(*dispatch.Executor) float64) Decider {
+				return plain("random")(repeats(terms), seed, door, now, truth)
+			}},
+		{"sends to what drains", 3, []Fault{{Kind: "deploy", At: Span(2e9), For: Span(3e9), Part: 0.5}},
+			func(terms *dispatch.Terms, seed uint64, door dispatch.Door, now int64, truth func(*dispatch.Executor) float64) Decider {
+				return &deaf{Decider: plain("random")(terms, seed, door, now, truth)}
+			}},
+		{"floods the cold", 4, []Fault{{Kind: "crash", At: Span(2e9), For: Span(1e9), Part: 0.9}, {Kind: "burst", At: Span(2e9), For: Span(5e9), Strength: 3}}, plain("least")},
+	} {
+		s := example(t, "quiet.toml")
+		s.Length, s.Faults = Span(8e9), c.faults
+		log := record(t, s, c.policy)
+		if c.rule == 0 {
+			if len(log) > 0 {
+				t.Errorf("%s: accused of %+v", c.what, log[0])
+			}
+		} else if !slices.Contains(log, c.rule) {
+			t.Errorf("%s: rule %d is not named, but %v", c.what, c.rule, log)
+		}
+	}
+}
--- /dev/null
+++ b/internal/judge/figures.go
@@ -0,0 +1,126 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package judge
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Group is the service of one scheme, tenant or stretch of time, in billing value of first tries.
+type Group struct {
+	Asked  float64 `json:"asked"`
+	OnTime float64 `json:"on_time"`
+	Late   float64 `json:"late"` // answered, past the aim; full value, before any part that a late answer earns
+}
+
+// Share is the part served in time; one where nothing was asked for.
+func (g Group) Share() float64 {
+	if g.Asked == 0 {
+		return 1
+	}
+	return g.OnTime / g.Asked
+}
+
+// Figures are the service that a log shows. A client's tries count as one, from its first on.
+type Figures struct {
+	All      Group            `json:"all"`
+	Schemes  map[string]Group `json:"schemes"`
+	Tenants  map[string]Group `json:"tenants,omitempty"`
+	Worst    float64          `json:"worst_10s"` // share in time of the worst ten seconds in a row
+	Waits    []int64          `json:"-"`         // from first try to answer of what was served, in order of size
+	Tries    int              `json:"tries"`
+	Postings int              `json:"postings"`
+	Declined int              `json:"declined"`
+	Reversed int              `json:"reversed"`
+}
+
+// At is the wait that so large a part of what was served did not exceed; 0 if nothing was.
+func (f *Figures) At(part float64) int64 {
+	if len(f.Waits) == 0 {
+		return 0
+	}
+	return f.Waits[min(int(part*float64(len(f.Waits))), len(f.Waits)-1)]
+}
+
+type want struct {
+	scheme, tenant string
+	first, aim     int64
+	value          float64
+	answered       int64 // 0: not
+}
+
+// Count gathers figures from events, in any order of calls that keeps the log's.
+type Count struct {
+	wants map[string]*want // by client
+	tries map[string]*want // by txn
+	out   Figures
+}
+
+func NewCount() *Count { return &Count{wants: map[string]*want{}, tries: map[string]*want{}} }
+
+func (c *Count) Add(e Event) {
+	switch e.Kind {
+	case Taken:
+		if c.wants[e.Client] == nil {
+			c.wants[e.Client] = &want{scheme: e.Scheme, tenant: e.Tenant, first: e.First, aim: e.Aim, value: e.Value}
+		}
+		c.tries[e.Txn] = c.wants[e.Client]
+		c.out.Tries++
+	case Posted:
+		c.out.Postings++
+	case Answered:
+		switch w := c.tries[e.Txn]; {
+		case e.Result == "declined":
+			c.out.Declined++
+		case e.Result == "reversed":
+			c.out.Reversed++
+		case w != nil && w.answered == 0:
+			w.answered = e.At
+		}
+	}
+}
+
+// End gives the figures.
+func (c *Count) End() *Figures {
+	f := c.out
+	f.Schemes, f.Tenants = map[string]Group{}, map[string]Group{}
+	bySecond := map[int64]Group{}
+	for _, id := range slices.Sorted(maps.Keys(c.wants)) { // sums of fractions depend on their order
+		w := c.wants[id]
+		add := func(g Group) Group {
+			g.Asked += w.value
+			if w.answered > 0 && w.answered <= w.aim {
+				g.OnTime += w.value
+			} else if w.answered > 0 {
+				g.Late += w.value
+			}
+			return g
+		}
+		f.All, f.Schemes[w.scheme], bySecond[w.first/1e9] = add(f.All), add(f.Schemes[w.scheme]), add(bySecond[w.first/1e9])
+		if w.tenant != "" {
+			f.Tenants[w.tenant] = add(f.Tenants[w.tenant])
+		}
+		if w.answered > 0 && w.value > 0 {
+			f.Waits = append(f.Waits, w.answered-w.first)
+		}
+	}
+	slices.Sort(f.Waits)
+	f.Worst = f.All.Share()
+	for from := range bySecond {
+		var g Group
+		for s := from; s < from+10; s++ {
+			g.Asked, g.OnTime = g.Asked+bySecond[s].Asked, g.OnTime+bySecond[s].OnTime
+		}
+		if g.Asked > 0 && bySecond[from].Asked > 0 && bySecond[from+9].Asked > 0 {
+			f.Worst = min(f.Worst, g.Share())
+		}
+	}
+	return &f
+}
+
+// Names gives the keys of groups in order.
+func Names(groups map[string]Group) []string {
+	return slices.SortedFunc(maps.Keys(groups), cmp.Compare[string])
+}
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -31,6 +31,11 @@
 	Node     string  `json:"node,omitempty"`
 	Txn      string  `json:"txn,omitempty"`
 	Scheme   string  `json:"scheme,omitempty"`   // taken
+	Client   string  `json:"client,omitempty"`   // taken: what the try is one of
+	Tenant   string  `json:"tenant,omitempty"`   // taken
+	First    int64   `json:"first,omitempty"`    // taken: when the client first asked
+	Aim      int64   `json:"aim,omitempty"`      // taken: until when an answer earns its full value
+	Value    float64 `json:"value,omitempty"`    // taken: billing value
 	Expiry   int64   `json:"expiry,omitempty"`   // taken
 	Executor string  `json:"executor,omitempty"` // posted, told, begun
 	Posting  int     `json:"posting"`            // posted, ended: from 0 on in each txn
