After a failed call the pauses are those of AskWithin again; first calls stay bounded

Change: Terms.AskAgain (Rules.AskWithin on both) for failed calls; the first call stays within the drain's grace.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -133,7 +133,7 @@
 // ListFailed takes the failure of a call for the list; the next one waits, for the same danger.
 func (d *Dispatcher) ListFailed() {
 	d.failed = min(d.failed+1, 2)
-	d.call(d.quiet() / 4 * float64(d.failed) * (0.5 + d.chance.Float64())) // three quarters of it at most
+	d.call(float64(d.terms.AskAgain) / 4 * float64(d.failed) * (0.5 + d.chance.Float64())) // 3/4 at most
 }
 
 func (d *Dispatcher) call(after float64) { d.door.Alarm(int64(after), func() { d.door.Watch(true) }) }
