--- /dev/null
+++ b/cmd/fernrail/commands.go
@@ -0,0 +1,166 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"os"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"fernrail/internal/config"
+	"fernrail/internal/fleet"
+)
+
+// line is what the program can be told to do. A bare start serves.
+type line struct {
+	Serve   serveCommand   `cmd:"" help:"Serve clients, as a bare start does. The configuration is the file that EDGE_CONFIG names."`
+	Config  configCommand  `cmd:"" help:"Look at a configuration without starting a node."`
+	Fleet   fleetCommand   `cmd:"" help:"Ask a node what it holds together with others: seats, epochs and each budget."`
+	Version versionCommand `cmd:"" help:"Say which build this is."`
+}
+
+type serveCommand struct{}
+
+func (serveCommand) Run() error { serve(); return nil }
+
+type configCommand struct {
+	Check checkCommand `cmd:"" help:"Read a file as a start would, and name the key that is at fault."`
+}
+
+type checkCommand struct {
+	File string `arg:"" help:"The configuration, JSON." type:"existingfile"`
+}
+
+func (c *checkCommand) Run(out io.Writer) error {
+	node, err := config.Load(func(v string) string {
+		if v == "EDGE_CONFIG" {
+			return c.File
+		}
+		return os.Getenv(v)
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s: node %s, clients at %s\n", c.File, node.Name, node.Listen)
+	switch {
+	case node.Silenced:
+		fmt.Fprintln(out, "fleet: off, settings.Limits.MayTell does not let nodes talk")
+	case node.Fleet == nil:
+		fmt.Fprintln(out, "fleet: no section, nothing is held together with other nodes")
+	default:
+		role := "no seat"
+		if node.Fleet.Seat(node.Name) != nil {
+			role = "a seat at " + node.Fleet.Listen
+		}
+		fmt.Fprintf(out, "fleet: %s, %d seats, budgets %s\n", role, len(node.Fleet.Seats), strings.Join(slices.Sorted(maps.Keys(node.Fleet.Pact.Budgets)), ", "))
+	}
+	return nil
+}
+
+type versionCommand struct{}
+
+func (versionCommand) Run(out io.Writer) error {
+	version, revision := "unknown", ""
+	if b, ok := debug.ReadBuildInfo(); ok {
+		version = b.GoVersion
+		for _, s := range b.Settings {
+			if s.Key == "vcs.revision" || s.Key == "vcs.modified" && s.Value == "true" {
+				revision += " " + strings.Replace(s.Value, "true", "modified", 1)
+			}
+		}
+	}
+	fmt.Fprintf(out, "fernrail%s, %s\n", revision, version)
+	return nil
+}
+
+type fleetCommand struct {
+	Admin string `default:"127.0.0.1:7071" env:"EDGE_ADMIN_ADDR" help:"The node's operators' address (${default})."`
+	JSON  bool   `help:"Print the node's own line instead of a table."`
+}
+
+func (c *fleetCommand) Run(out io.Writer) error {
+	text, err := call(c.Admin, "fleet")
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		_, err = out.Write(text)
+		return err
+	}
+	var f fleet.Figures
+	if err := json.Unmarshal(text, &f); err != nil {
+		return err
+	}
+	lease := fmt.Sprintf("%d ms left of its lease", f.LeaseMs)
+	if f.LeaseMs == 0 {
+		lease = "no lease: it lives on its floors"
+	}
+	fmt.Fprintf(out, "epoch %d, %s\n\n", f.Epoch, lease)
+	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "budget\twhole\tmine\tfloor\tused\twanted\tsent\tlapsed\tslipped\t")
+	for _, name := range slices.Sorted(maps.Keys(f.Budgets)) {
+		b := f.Budgets[name]
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%.1f\t%.1f\t%d\t%d\t%d\t\n", name, b.Whole, b.Mine, b.Floor, b.Used, b.Want, b.Sent, b.Lapsed, b.Slipped)
+	}
+	t.Flush()
+	if s := f.Seat; s != nil {
+		fmt.Fprintf(out, "\nseat %s: %s; granter %s, epoch %d, seats %s %s\n\n", s.ID, s.State, s.Granter, s.Epoch, strings.Join(s.Seats, " "), s.Fault)
+		fmt.Fprintln(t, "budget\twhole\tfloors\tgranted\tresting\tfree\t")
+		for _, name := range slices.Sorted(maps.Keys(s.Budgets)) {
+			b := s.Budgets[name]
+			fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t\n", name, b.Whole, b.Floors, b.Granted, b.Resting, b.Free)
+		}
+		for _, h := range s.Holders {
+			fmt.Fprintf(t, "%s\t", h.Node)
+			for _, name := range slices.Sorted(maps.Keys(h.Units)) {
+				fmt.Fprintf(t, "%s %d of %d\t", name, h.Units[name], h.Want[name])
+			}
+			fmt.Fprintln(t)
+		}
+		t.Flush()
+	}
+	return nil
+}
+
+// call makes one operators' call.
+func call(address, line string) ([]byte, error) {
+	c, err := net.DialTimeout("tcp", address, 2*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(2 * time.Second))
+	if _, err := io.WriteString(c, line+"\n"); err != nil {
+		return nil, err
+	}
+	answer, err := io.ReadAll(io.LimitReader(c, 1<<20))
+	if err != nil {
+		return nil, err
+	}
+	text, whole := strings.CutSuffix(string(answer), "END\n")
+	if why, bad := strings.CutPrefix(text, "ERR "); bad {
+		return nil, fmt.Errorf("%s", strings.TrimSpace(why))
+	}
+	if !whole {
+		return nil, fmt.Errorf("the answer of %s broke off", address)
+	}
+	return []byte(text), nil
+}
+
+func commands() {
+	var l line
+	k := kong.Parse(&l, kong.Name("fernrail"), kong.UsageOnError(),
+		kong.Description("A node that takes jobs from clients and pushes them to executors. Without a command it serves."),
+		kong.BindTo(os.Stdout, (*io.Writer)(nil)))
+	k.FatalIfErrorf(k.Run())
+}
--- a/cmd/fernrail/desk.go
+++ b/cmd/fernrail/desk.go
@@ -4,15 +4,19 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"runtime/debug"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"fernrail/internal/config"
+	"fernrail/internal/fleet"
 	"fernrail/internal/handover"
 	"fernrail/internal/routing"
 	"fernrail/internal/telemetry"
@@ -30,6 +34,7 @@
 	descriptors *transport.Descriptors
 	counters    *telemetry.Counters
 	seat        *handover.Seat
+	share       *fleet.Fleet // nil: no budget is held with other nodes
 	log         zerolog.Logger
 
 	mu     sync.Mutex // round what follows
@@ -169,3 +174,24 @@
 
 func (d *desk) Evacuate() error { return d.server.Drain() }
 func (d *desk) Activate() error { return d.server.Activate() }
+
+// errAlone is said where there is no fleet.
+var errAlone = errors.New("this node holds no budgets with others: its configuration has no fleet section that is in force")
+
+func (d *desk) Fleet() ([]byte, error) {
+	if d.share == nil {
+		return nil, errAlone
+	}
+	return json.Marshal(d.share.Read())
+}
+
+func (d *desk) Whole(name, units string) error {
+	if d.share == nil {
+		return errAlone
+	}
+	n, err := strconv.ParseInt(units, 10, 64)
+	if err != nil {
+		return fmt.Errorf("%.20q is not a whole number", units)
+	}
+	return d.share.SetWhole(name, n)
+}
--- a/cmd/fernrail/desk_test.go
+++ b/cmd/fernrail/desk_test.go
@@ -27,7 +27,7 @@
 		t.Fatal(err)
 	}
 	c.Terms = terms
-	d := wire(c, zerolog.Nop())
+	d := wire(c, nil, zerolog.Nop())
 	d.join(dir)
 	check := func(what string, want float64) {
 		t.Helper()
--- a/cmd/fernrail/figures_test.go
+++ b/cmd/fernrail/figures_test.go
@@ -21,7 +21,7 @@
 // TestFigures: what a node reports is what its clients and executors saw, with declines, an executor that hangs, clients
 // that leave and requests that are cut. Clients that left may count as any end.
 func TestFigures(t *testing.T) {
-	f := newFleet(t, 3)
+	f := newCrew(t, 3)
 	f.workers[2].hung = true
 	discovery := httptest.NewServer(http.HandlerFunc(f.list))
 	t.Cleanup(func() {
--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -17,6 +17,7 @@
 
 	"fernrail/internal/admin"
 	"fernrail/internal/config"
+	"fernrail/internal/fleet"
 	"fernrail/internal/routing"
 	"fernrail/internal/telemetry"
 	"fernrail/internal/transport"
@@ -35,7 +36,19 @@
 // memoryPart of the limit is what the runtime is told; the rest is for stacks of the kernel and the program itself.
 const memoryPart = 0.75
 
+// clock is what leases are counted by; tests alone put another one here.
+var clock fleet.Clock = fleet.Boottime
+
 func main() {
+	if len(os.Args) > 1 {
+		commands()
+		return
+	}
+	serve()
+}
+
+// serve is a bare start.
+func serve() {
 	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	log := zerolog.New(os.Stdout).With().Timestamp().Logger()
 	if err := run(log); err != nil {
@@ -56,7 +69,17 @@
 	few := &zerolog.BurstSampler{Burst: 20, Period: time.Second}
 	log = log.With().Str("node", c.Name).Logger().Level(c.Log).Sample(&zerolog.LevelSampler{DebugSampler: few, WarnSampler: few})
 	runtime.GOMAXPROCS(max(int(math.Ceil(c.Cores)), 1))
-	desk := wire(c, log)
+	var share *fleet.Fleet
+	if c.Silenced {
+		log.Warn().Str("key", "fleet").Msg("settings.Limits.MayTell does not let nodes talk: no budget is held together")
+	}
+	if c.Fleet != nil {
+		if share, err = fleet.Start(c.Name, c.Fleet, clock, log); err != nil {
+			return err
+		}
+		defer share.Close()
+	}
+	desk := wire(c, share, log)
 	defer desk.seat.Leave()
 	log.Info().Int("beside", desk.seat.Others()).Msg("node starts")
 	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
@@ -98,7 +121,7 @@
 	// Danger: an old process that is told to end at this one's yes, and does not see yet that it has a successor.
 	desk.seat.Serve(true)
 	ended := desk.server.Open(l)
-	if c.Unheard {
+	if c.Unheard && c.Fleet == nil {
 		log.Warn().Str("key", "settings.Limits.MayTell").Msg("messages between nodes have no protocol here: none are sent")
 	}
 	log.Info().Str("listen", c.Listen).Int("executors", len(c.Known.Entries)).Int("beside", desk.seat.Others()).Msg("node serves")
@@ -128,12 +151,18 @@
 // places is how many operators' calls are held at a time: a part of the descriptors that takes little from clients.
 func places(sockets int) int { return min(max(sockets/24, 2), 32) }
 
-// wire puts a node together.
-func wire(c *config.Node, log zerolog.Logger) *desk {
+// wire puts a node together. share is nil where it holds no budgets with others.
+func wire(c *config.Node, share *fleet.Fleet, log zerolog.Logger) *desk {
 	descriptors, counters := transport.NewDescriptors(c.Sockets), telemetry.New(c.Names.Schemes)
 	carrier := transport.NewExecutors(descriptors, c.Dial, c.Idle, c.Values, counters.Attempted)
-	node := routing.New(c.Terms, c.Seed, c.Known, carrier, c.Probe, transport.NewDiscovery(c.Discovery, c.Names), log)
-	d := &desk{config: c, node: node, descriptors: descriptors, counters: counters, log: log,
+	var held routing.Purse
+	if share != nil {
+		p := &purse{share, descriptors}
+		held = p
+		carrier.Dials(p.dial)
+	}
+	node := routing.New(c.Terms, c.Seed, c.Known, carrier, c.Probe, transport.NewDiscovery(c.Discovery, c.Names), held, log)
+	d := &desk{config: c, share: share, node: node, descriptors: descriptors, counters: counters, log: log,
 		server: transport.NewServer(descriptors, c.Names, node.Serve, node.Ready, counters, log)}
 	// Danger: looks at files many times a second, at a node that has no operators and no second process.
 	dir := ""
--- a/cmd/fernrail/move_test.go
+++ b/cmd/fernrail/move_test.go
@@ -36,8 +36,8 @@
 "Limits":{"MayCancel":true,"MayDuplicate":false,"MayProbe":true,"MayTell":true,"MostPostings":4,"RetryAfter":true,"MaxRetryAfter":2000000000,"DialTimeout":250000000,"IdleClose":10000000000},`
 )
 
-// fleet stands in for executors and discovery: it runs what is posted and holds it against the rules.
-type fleet struct {
+// crew stands in for executors and discovery: it runs what is posted and holds it against the rules.
+type crew struct {
 	*testing.T
 	mu      sync.Mutex
 	workers []*worker
@@ -57,7 +57,7 @@
 }
 
 type worker struct {
-	*fleet
+	*crew
 	name    string
 	zone    int
 	server  *httptest.Server
@@ -74,12 +74,12 @@
 	grace = time.Second          // the terms say 0.25 s; a busy machine is told late
 )
 
-func newFleet(t *testing.T, workers int) *fleet {
-	f := &fleet{T: t, changed: make(chan struct{}), version: 1, out: map[string][]posted{}, effects: map[string]int{},
+func newCrew(t *testing.T, workers int) *crew {
+	f := &crew{T: t, changed: make(chan struct{}), version: 1, out: map[string][]posted{}, effects: map[string]int{},
 		single: map[string]bool{}}
 	marks := [2]map[string]bool{{}, {}}
 	for i := range workers {
-		w := &worker{fleet: f, name: fmt.Sprint("w", i), zone: i % 2, slots: make(chan struct{}, slots), marks: marks[i%2]}
+		w := &worker{crew: f, name: fmt.Sprint("w", i), zone: i % 2, slots: make(chan struct{}, slots), marks: marks[i%2]}
 		w.server = httptest.NewServer(w)
 		f.workers = append(f.workers, w)
 		t.Cleanup(func() {
@@ -158,14 +158,14 @@
 }
 
 // known is the whole list as it is now.
-func (f *fleet) known() string {
+func (f *crew) known() string {
 	r := httptest.NewRecorder()
 	f.list(r, httptest.NewRequest("GET", "/api/targets", nil))
 	return r.Body.String()
 }
 
 // list answers for discovery.
-func (f *fleet) list(out http.ResponseWriter, r *http.Request) {
+func (f *crew) list(out http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
 	changed, newer := f.changed, r.URL.Query().Get("since") != fmt.Sprint(f.version)
 	f.mu.Unlock()
@@ -195,7 +195,7 @@
 }
 
 // drain tells of a worker that takes nothing new.
-func (f *fleet) drain(w *worker) {
+func (f *crew) drain(w *worker) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w.drained = time.Now()
@@ -203,14 +203,14 @@
 }
 
 // tell ends the watches with a new list. Under mu.
-func (f *fleet) tell() {
+func (f *crew) tell() {
 	f.version++
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
 
 // start runs a node of the shape, wired as the program does, and gives its address.
-func (f *fleet) start(me int, shape, extra, discovery string) string {
+func (f *crew) start(me int, shape, extra, discovery string) string {
 	f.Helper()
 	text := fmt.Sprintf(`{"name":"n%d","listen":"127.0.0.1:0","discovery":%q,"seed":"%d","limits":{"sockets":200},"known":%s,"settings":{%s%s}}`,
 		me, discovery, me+1, f.known(), shape, fmt.Sprintf(common, me, me%2, extra))
@@ -222,7 +222,7 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	desk := wire(c, zerolog.Nop())
+	desk := wire(c, nil, zerolog.Nop())
 	node, server := desk.node, desk.server
 	f.desks = append(f.desks, desk)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -257,7 +257,7 @@
 }
 
 func bothKinds(t *testing.T, weights string) {
-	f := newFleet(t, 8)
+	f := newCrew(t, 8)
 	discovery := httptest.NewServer(http.HandlerFunc(f.list))
 	t.Cleanup(func() {
 		discovery.CloseClientConnections()
--- a/cmd/fernrail/upgrade_test.go
+++ b/cmd/fernrail/upgrade_test.go
@@ -12,18 +12,24 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"fernrail/internal/fleet"
 	"fernrail/internal/telemetry"
 )
 
 // TestMain lets the test's binary be a node, so that two real processes can meet.
 func TestMain(m *testing.M) {
 	if os.Getenv("FERNRAIL_TEST_NODE") != "" {
+		if rate, err := strconv.ParseFloat(os.Getenv("FERNRAIL_TEST_CLOCK"), 64); err == nil {
+			began := fleet.Boottime()
+			clock = func() int64 { return began + int64(rate*float64(fleet.Boottime()-began)) }
+		}
 		main()
 		return
 	}
@@ -125,7 +131,7 @@
 
 // site is what the processes of one node share.
 type site struct {
-	*fleet
+	*crew
 	dir, discovery string
 	door           net.Listener
 	file           *os.File
@@ -134,7 +140,7 @@
 const sockets = 200
 
 func newSite(t *testing.T) *site {
-	f := newFleet(t, 8)
+	f := newCrew(t, 8)
 	discovery := httptest.NewServer(http.HandlerFunc(f.list))
 	t.Cleanup(func() {
 		discovery.CloseClientConnections()
@@ -243,7 +249,7 @@
 
 // visit lists one more worker, and part takes it out again.
 func (s *site) visit() {
-	w := &worker{fleet: s.fleet, name: "w8", server: s.workers[7].server}
+	w := &worker{crew: s.crew, name: "w8", server: s.workers[7].server}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.workers = append(s.workers, w)
@@ -258,7 +264,7 @@
 }
 
 // ban notes when operators said that nothing more is to go to a worker.
-func (f *fleet) ban(w *worker, at time.Time) {
+func (f *crew) ban(w *worker, at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w.banned = at
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -102,8 +102,7 @@
 			d.fleet = append(d.fleet, e)
 		}
 		if d.models[m.Kind] == nil {
-			needs := func(s *Scheme) bool { return s.Kind == m.Kind }
-			d.models[m.Kind] = &model{bound: slices.ContainsFunc(d.terms.Schemes, needs)}
+			d.models[m.Kind] = &model{bound: d.terms.need(m.Kind)}
 		}
 		// Danger: of many nodes each sees next to nothing of load; the draw alone fills the small and the slow.
 		if e.left = 1; d.terms.Live {
@@ -260,14 +259,10 @@
 // Danger: what many nodes were told they all take at once; so with the chance that starts are prompt.
 func (d *Dispatcher) Probed(e *Executor, told bool, free, memory float64) {
 	askers := e.askers
-	if e.askers, e.toldAt, e.free, e.memory = nil, d.now, free, memory; told {
+	e.free = e.claims.sum(free, d.now-4*d.fresh)
+	if e.askers, e.toldAt, e.memory = nil, d.now, memory; told {
 		d.toldAt = d.now
 	}
-	for _, c := range e.claims {
-		if d.now-c.at <= 4*d.fresh {
-			e.free -= c.work
-		}
-	}
 	for _, t := range askers {
 		// Danger: an answer that comes late; the executor may be gone, and the txn out or over.
 		if !t.Over && t.live == 0 && !d.full(t, e) && d.allowed(t, e) &&
@@ -284,8 +279,7 @@
 
 // Taken notes slots that this or another node took at an executor, for as long as reports may lack them.
 func (d *Dispatcher) Taken(e *Executor, slots float64) {
-	old := func(c charge) bool { return d.now-c.at > 4*d.fresh }
-	e.claims = append(slices.DeleteFunc(e.claims, old), charge{d.now, slots})
+	e.claims = e.claims.add(d.now, -slots, 4*d.fresh)
 	e.free -= slots
 }
 
@@ -327,6 +321,10 @@
 			return false
 		}
 	}
+	// Danger: what all nodes hold together, used beyond this one's share of it.
+	if len(t.Postings) > 0 && !d.terms.may(Again, e, 1) || !d.terms.may(Connect, e, 1) {
+		return false
+	}
 	return d.warmEnough(t, e)
 }
 
@@ -336,26 +334,29 @@
 	if d.warmth(e, d.now) == 1 {
 		return true
 	}
-	part, since, turn, _ := d.part(e)
-	sum := t.size
-	for _, c := range e.sends {
-		if c.at >= since {
-			sum += c.work
-		}
+	if d.terms.Shares != nil { // it counts as it is sent
+		return d.terms.Shares.May(Cold, e, t.size/d.bears(e, d.now-d.terms.Fall, 1))
 	}
+	part, since, turn, _ := d.part(e)
+	sum := e.sends.sum(t.size, since)
 	return turn && d.born < since && sum <= part
 }
 
+// bears is a part of the work that all nodes may send a cold executor in a window, by its warmth at a time.
+func (d *Dispatcher) bears(e *Executor, at int64, parts float64) float64 {
+	all := safety * d.terms.FallMultiple * float64(d.terms.Fall) * max(e.model.slots, 1)
+	return all * (d.warmth(e, at) / parts)
+}
+
 // part is what this node may send a cold executor, since when, whether now, and how many groups take turns.
 // Danger: an even part of many is less than one txn, and what was swapped stands empty. So a few take turns.
 func (d *Dispatcher) part(e *Executor) (part float64, since int64, turn bool, of float64) {
-	all := safety * d.terms.FallMultiple * float64(d.terms.Fall) * max(e.model.slots, 1)
-	nodes, length := max(d.terms.Nodes, 1), max(d.terms.Fall/turns, 1)
+	nodes, length := d.terms.inTurn(), max(d.terms.Fall/turns, 1)
 	// Danger: a start that is stamped too late lies ahead, and nothing sent since then would count.
 	first := e.since - d.terms.StampError
 	n := max(d.now-first, 0) / length
 	since = first + n*length
-	all *= d.warmth(e, since) / (turns + 1) // a window meets one turn more than it is long
+	all := d.bears(e, since, turns+1) // a window meets one turn more than it is long
 	members := max(int64(min(all/d.large, float64(nodes))), 1)
 	groups := (int64(nodes) + members - 1) / members
 	return all / float64(members), since, (n+int64(d.terms.Me)+e.since/1e6)%groups == 0, float64(groups)
@@ -542,8 +543,8 @@
 	t.Postings = append(t.Postings, p)
 	e.busy, d.busy, t.thing.busy, t.live = e.busy+t.Slots, d.busy+t.Slots, t.thing.busy+t.Slots, t.live+1
 	if d.warmth(e, d.now) < 1 {
-		old := func(c charge) bool { return d.now-c.at > d.terms.Fall }
-		e.sends = append(slices.DeleteFunc(e.sends, old), charge{d.now, t.size})
+		e.sends = e.sends.add(d.now, t.size, d.terms.Fall)
+		p.Part = t.size / d.bears(e, d.now-d.terms.Fall, 1)
 	}
 	p.then = func() { d.place(t) }
 	d.door.Post(p)
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -5,6 +5,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"slices"
 )
 
 // Effect says what a repeat of a txn does.
@@ -73,11 +74,45 @@
 	Cold         int64
 	Fall         int64
 	FallMultiple float64
-	AskWithin    int64 // how long news may lie while no call for the list is out; then it counts as told
-	LeftMargin   int64 // by which a txn's expiry may be told too early or too late
-	StampError   int64 // by which an executor's start may be
-	AskAgain     int64 // the same after a call that failed
-	Grace        int64 // how long after that a posting may still be sent to what drains or is gone
+	AskWithin    int64  // how long news may lie while no call for the list is out; then it counts as told
+	LeftMargin   int64  // by which a txn's expiry may be told too early or too late
+	StampError   int64  // by which an executor's start may be
+	AskAgain     int64  // the same after a call that failed
+	Grace        int64  // how long after that a posting may still be sent to what drains or is gone
+	Shares       Shares // of what all nodes hold together; nil: they share nothing
+}
+
+// Budget is something that all nodes use together, each its share.
+type Budget int
+
+const (
+	Again   Budget = iota // second and later postings
+	Connect               // new connections to an executor
+	Cold                  // the work that a cold executor bears in a window, as a part of it
+	Budgets
+)
+
+// Shares tells whether this node may use so much more of a budget now, for an executor where each has its own. It is a
+// read: what counts is taken at the moment of sending.
+type Shares interface {
+	May(b Budget, e *Executor, units float64) bool
+}
+
+// inTurn is how many nodes take turns at what is cold; leases take the place of turns.
+func (t *Terms) inTurn() int {
+	if t.Shares != nil {
+		return 1
+	}
+	return max(t.Nodes, 1)
+}
+
+// need says whether some scheme runs on that kind of machine alone.
+func (t *Terms) need(kind int) bool {
+	return slices.ContainsFunc(t.Schemes, func(s *Scheme) bool { return s.Kind == kind })
+}
+
+func (t *Terms) may(b Budget, e *Executor, units float64) bool {
+	return t.Shares == nil || t.Shares.May(b, e, units)
 }
 
 // State is what the list says of an executor.
@@ -162,6 +197,7 @@
 	Number   int
 	Limit    int64   // time-out; 0: until the client gives up
 	Open     bool    // no outcome yet
+	Part     float64 // of a cold executor's budget that it takes; 0: the executor is warm
 	Free     float64 // free slots that the executor reported with the outcome; 0: none, or not told
 
 	sent, started, told int64
@@ -189,9 +225,9 @@
 	hAt         int64
 	keptTill    int64 // until then a connection should be open and unused
 
-	askers       []*Txn   // that wait for the answer to a probe
-	toldAt       int64    // of room
-	claims       []charge // slots taken since, by this node or others
+	askers       []*Txn  // that wait for the answer to a probe
+	toldAt       int64   // of room
+	claims       charges // slots taken since, by this node or others
 	free, memory float64
 
 	size float64 // the most that the list told of it
@@ -201,7 +237,7 @@
 	atWork float64 // of these, slots of started ones
 	late   float64 // starts in a row that came late
 	room   float64 // what it was before refusals cut it, until a start is late
-	sends  []charge
+	sends  charges
 }
 
 type charge struct {
@@ -209,6 +245,24 @@
 	work float64
 }
 
+// charges are in order of time.
+type charges []charge
+
+// add notes one more, and forgets those over a span old.
+func (c charges) add(at int64, work float64, span int64) charges {
+	return append(slices.DeleteFunc(c, func(o charge) bool { return at-o.at > span }), charge{at, work})
+}
+
+// sum adds those from a time on to what there is.
+func (c charges) sum(all float64, since int64) float64 {
+	for _, o := range c {
+		if o.at >= since {
+			all += o.work
+		}
+	}
+	return all
+}
+
 // ledger is what was asked for and what of it was earned, fading.
 type ledger struct {
 	asked, earned float64
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -27,6 +27,8 @@
 	Include(id string) error
 	Evacuate() error
 	Activate() error
+	Fleet() (line []byte, err error)
+	Whole(budget, units string) error
 }
 
 const (
@@ -200,18 +202,25 @@
 		"include":  func(id string) ([]byte, error) { return nil, s.desk.Include(id) },
 		"evacuate": func(string) ([]byte, error) { return nil, s.desk.Evacuate() },
 		"activate": func(string) ([]byte, error) { return nil, s.desk.Activate() },
+		"fleet": func(string) ([]byte, error) {
+			line, err := s.desk.Fleet()
+			return append(line, "\nEND\n"...), err
+		},
+		"whole": func(string) ([]byte, error) { return nil, s.desk.Whole(words[1], words[2]) },
 	}[words[0]]
-	takes := map[string]int{"exclude": 1, "include": 1}[words[0]]
+	takes := map[string]int{"exclude": 1, "include": 1, "whole": 2}[words[0]]
 	switch {
 	case do == nil:
-		return fmt.Appendf(nil, "ERR %.40q is no call: readyz, telemetry, exclude ID, include ID, evacuate, activate\n", words[0])
+		return fmt.Appendf(nil, "ERR %.40q is no call: readyz, telemetry, exclude ID, include ID, evacuate, activate, fleet, whole BUDGET UNITS\n", words[0])
+	case len(words)-1 < takes && takes == 2:
+		return fmt.Appendf(nil, "ERR %s needs a budget and its units\n", words[0])
 	case len(words)-1 < takes:
 		return fmt.Appendf(nil, "ERR %s needs the id of an executor\n", words[0])
 	case len(words)-1 > takes:
 		return fmt.Appendf(nil, "ERR %s takes %d words after it, not %d\n", words[0], takes, len(words)-1)
 	}
 	body, err := do(strings.Join(words[1:], ""))
-	if words[0] != "readyz" && words[0] != "telemetry" {
+	if words[0] != "readyz" && words[0] != "telemetry" && words[0] != "fleet" {
 		s.log.Info().Strs("call", words).AnErr("refused", err).Msg("operators call")
 	}
 	if err != nil {
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -41,6 +41,10 @@
 func (s *stand) Include(id string) error    { return s.note("include " + id) }
 func (s *stand) Evacuate() error            { return s.note("evacuate") }
 func (s *stand) Activate() error            { return s.note("activate") }
+func (s *stand) Fleet() ([]byte, error)     { return []byte(`{"epoch":1}`), s.note("fleet") }
+func (s *stand) Whole(name, units string) error {
+	return s.note("whole " + units + " " + name)
+}
 
 // pipes is a listener whose connections are in memory, so that its time can be a test's.
 type pipes struct {
@@ -81,6 +85,11 @@
 		"exclude broken\n":         "ERR the call failed",
 		"evacuate\n":               "OK\n",
 		"activate\n":               "OK\n",
+		"fleet\n":                  "{\"epoch\":1}\nEND\n",
+		"whole connect 20\n":       "OK\n",
+		"whole connect\n":          "ERR whole needs a budget and its units\n",
+		"whole\n":                  "ERR whole needs a budget and its units\n",
+		"whole nobody 3\n":         "ERR never listed\n",
 		"\n":                       "ERR the line is empty\n",
 		"READYZ\n":                 "ERR \"READYZ\" is no call",
 		"exclude\n":                "ERR exclude needs the id",
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,8 +37,10 @@
 	Idle                    time.Duration // after which an executor closes an unused connection
 	Values                  protocol.Values
 	Probe                   time.Duration // how long the answer to a probe is waited for
+	Silenced                bool          // a fleet section is there, and the settings do not let nodes talk
 	Unheard                 bool          // the settings allow messages between nodes, for which sockets have no protocol
 	Longest                 time.Duration // expiry of the scheme that has the longest
+	Fleet                   *Fleet        // budgets held with other nodes; nil: none, nothing is told to other nodes
 	Log                     zerolog.Level // the least that is logged; trace tells of each posting
 
 	said map[string]string // the file's values by dotted name, but for those that concern a start alone
@@ -202,6 +204,13 @@
 		return r.err
 	}
 	var err error
+	if n.Fleet, err = n.fleet(r, flat); err != nil {
+		return err
+	}
+	// Danger: a site that forbids nodes to talk, on which a section meant for another site makes them.
+	if n.Fleet != nil && !n.Unheard {
+		n.Fleet, n.Silenced = nil, true
+	}
 	if n.Seed, err = strconv.ParseUint(r.word("seed"), 16, 64); err != nil {
 		return fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", r.word("seed"))
 	}
--- /dev/null
+++ b/internal/config/fleet.go
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package config
+
+import (
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"fernrail/internal/fleet/budget"
+)
+
+// Seat is a node that takes part in granting.
+type Seat struct{ Name, Address string }
+
+// Fleet is how a node holds budgets together with others.
+type Fleet struct {
+	Listen string // of a seat
+	Secret string // what all nodes of a fleet know
+	Dir    string // where a seat keeps what was agreed; empty: in memory alone
+	Seats  []Seat
+	Pace   time.Duration // after which a seat that hears nothing looks for another grantor
+	Pact   budget.Pact
+}
+
+// Budgets that can be held together, by the names that the file gives them.
+const (
+	Again   = "again"   // second and later postings, of all txns of all nodes
+	Connect = "connect" // new connections to one executor
+	Cold    = "cold"    // parts of the work that a cold executor bears
+)
+
+const (
+	defaultPace   = 300                   // ms; a loaded machine pauses for a tenth of a second
+	defaultLease  = 3000                  // ms
+	defaultMargin = 0.05                  // clocks of machines differ by a thousandth of that; paused virtual ones do not
+	roundTrips    = 3                     // at least, in a lease
+	leastSecret   = 8                     // bytes
+	mostNodes     = 4096                  // that any fleet may ever have
+	defaultTrip   = 50 * time.Millisecond // of a call between nodes
+)
+
+// fleet reads the section of that name; nil: there is none.
+func (n *Node) fleet(r *reader, flat map[string]string) (*Fleet, error) {
+	names := map[string]bool{}
+	some := false
+	for key := range flat {
+		rest, is := strings.CutPrefix(key, "fleet.")
+		some = some || is
+		if rest, is = strings.CutPrefix(rest, "budgets."); is {
+			name, _, _ := strings.Cut(rest, ".")
+			names[name] = true
+		}
+	}
+	if !some {
+		return nil, nil
+	}
+	f := &Fleet{Listen: r.word("fleet.listen"), Secret: r.word("fleet.secret"), Dir: r.word("fleet.dir"),
+		Pace: time.Duration(r.whole("fleet.pace_ms", defaultPace, 20)) * time.Millisecond}
+	f.Pact = budget.Pact{Most: r.whole("fleet.most", 0, 1), Lease: r.whole("fleet.lease_ms", defaultLease, 1) * 1e6,
+		Margin: r.real("fleet.margin", defaultMargin), Budgets: map[string]budget.Terms{}}
+	trip := time.Duration(r.whole("fleet.round_trip_ms", int64(defaultTrip/time.Millisecond), 1)) * time.Millisecond
+	count := int(r.whole("fleet.seats.count", 0, 0))
+	for i := range count {
+		at := "fleet.seats." + strconv.Itoa(i)
+		s := Seat{r.word(at + ".name"), r.word(at + ".address")}
+		if s.Name == "" || strings.ContainsAny(s.Name, "/ ") {
+			return nil, fmt.Errorf("%s.name: %q is no name of a node", at, s.Name)
+		}
+		if _, _, err := net.SplitHostPort(s.Address); err != nil {
+			return nil, fmt.Errorf("%s.address: %q is not host:port", at, s.Address)
+		}
+		for j, other := range f.Seats {
+			if other.Name == s.Name {
+				return nil, fmt.Errorf("%s.name: %q is the name of seat %d as well", at, s.Name, j)
+			}
+			if other.Address == s.Address {
+				return nil, fmt.Errorf("%s.address: %q is the address of seat %d as well", at, s.Address, j)
+			}
+		}
+		f.Seats = append(f.Seats, s)
+	}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		at := "fleet.budgets." + name + "."
+		if name != Again && name != Connect && name != Cold {
+			return nil, fmt.Errorf("fleet.budgets.%s: no such budget; there are %s, %s and %s", name, Again, Connect, Cold)
+		}
+		window := int64(1000)
+		if fall := n.Terms.Fall / 1e6; name == Cold && fall > 0 {
+			window = fall
+		}
+		t := budget.Terms{Whole: r.whole(at+"whole", 0, 1), Floor: r.whole(at+"floor", 0, 0), Reserve: r.whole(at+"reserve", 0, 0),
+			Step: r.whole(at+"step", 1, 1), Window: r.whole(at+"window_ms", window, 1) * 1e6}
+		if name == Cold && t.Window < n.Terms.Fall {
+			return nil, fmt.Errorf("%swindow_ms: %d is under the window in which a cold executor falls over, settings.Rules.Fall", at, t.Window/1e6)
+		}
+		f.Pact.Budgets[name] = t
+	}
+	switch {
+	case r.err != nil:
+		return nil, r.err
+	case count == 0 || count%2 == 0:
+		return nil, fmt.Errorf("fleet.seats: %d seats; an odd number is needed, best three or five", count)
+	case len(f.Secret) < leastSecret:
+		return nil, fmt.Errorf("fleet.secret: %d bytes; at least %d are needed", len(f.Secret), leastSecret)
+	case f.Pact.Most < int64(count) || f.Pact.Most > mostNodes:
+		return nil, fmt.Errorf("fleet.most: %d is not between the %d seats and %d", f.Pact.Most, count, mostNodes)
+	case f.Pact.Lease < roundTrips*int64(trip):
+		return nil, fmt.Errorf("fleet.lease_ms: %d is shorter than %d round trips of %v", f.Pact.Lease/1e6, roundTrips, trip)
+	case len(names) == 0:
+		return nil, fmt.Errorf("fleet.budgets: none is named")
+	}
+	if err := f.Pact.Check(); err != nil {
+		return nil, fmt.Errorf("fleet.%w", err)
+	}
+	seat := f.Seat(n.Name)
+	if seat != nil && f.Listen == "" {
+		f.Listen = seat.Address
+	}
+	if seat != nil {
+		if _, _, err := net.SplitHostPort(f.Listen); err != nil {
+			return nil, fmt.Errorf("fleet.listen: %q is not host:port", f.Listen)
+		}
+		if f.Listen == n.Listen || f.Listen == n.Admin {
+			return nil, fmt.Errorf("fleet.listen: %q is where clients or operators connect", f.Listen)
+		}
+	}
+	return f, nil
+}
+
+// Seat is the seat of that name; nil: the node has none.
+func (f *Fleet) Seat(name string) *Seat {
+	if i := slices.IndexFunc(f.Seats, func(s Seat) bool { return s.Name == name }); i >= 0 {
+		return &f.Seats[i]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/budget/books.go
@@ -0,0 +1,266 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package budget divides budgets that many nodes hold together. It has both halves, the books that grant and the holder
+// that uses, and is free of I/O and of clocks: time is handed in, in nanoseconds. docs/fleet.md says what is safe by what.
+package budget
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// Terms are what is agreed of one budget, in whole units.
+type Terms struct {
+	Whole   int64 `json:"whole"`   // what all nodes may use together, in each window
+	Floor   int64 `json:"floor"`   // of it, what each node has without a lease
+	Reserve int64 `json:"reserve"` // of it, what is kept for nodes that hold nothing yet
+	Step    int64 `json:"step"`    // by which shares move; 1 at least
+	Window  int64 `json:"window"`  // ns; what is given back is granted again only when it is past
+}
+
+// Pact is what all nodes of a fleet agree on before any of them starts.
+type Pact struct {
+	Most    int64            `json:"most"`   // nodes that may ever be there, each with its floors
+	Lease   int64            `json:"lease"`  // ns, by the holder's clock
+	Margin  float64          `json:"margin"` // by which the rates of any two clocks may differ, as a share
+	Budgets map[string]Terms `json:"budgets"`
+}
+
+// Check says what is wrong with a pact, by key.
+func (p *Pact) Check() error {
+	switch {
+	case p.Most < 1:
+		return fmt.Errorf("most: %d is not a number of nodes", p.Most)
+	case p.Lease <= 0:
+		return fmt.Errorf("lease: %d ns is no time", p.Lease)
+	case !(p.Margin >= 0 && p.Margin < 1):
+		return fmt.Errorf("margin: %v is not a share from 0 to under 1", p.Margin)
+	}
+	for _, name := range slices.Sorted(maps.Keys(p.Budgets)) {
+		switch t := p.Budgets[name]; {
+		case t.Floor < 0 || t.Reserve < 0 || t.Window <= 0 || t.Step < 1 || t.Whole < 1 || t.Whole > 1<<40:
+			return fmt.Errorf("budgets.%s: whole %d, floor %d, reserve %d, step %d, window %d: out of bounds", name, t.Whole, t.Floor, t.Reserve, t.Step, t.Window)
+		case t.Floor > t.Whole/p.Most || t.Floor*p.Most+t.Reserve > t.Whole:
+			return fmt.Errorf("budgets.%s.whole: %d is under the floors of %d nodes, %d each, and the reserve of %d", name, t.Whole, p.Most, t.Floor, t.Reserve)
+		}
+	}
+	return nil
+}
+
+// stretched is a time by this node's clock after which it has passed by any other's.
+func (p *Pact) stretched(time int64) int64 { return time + int64(float64(time)*p.Margin) + 1 }
+
+// Books are what was granted, the same at every seat. They change by Apply alone.
+type Books struct {
+	Pact    Pact                `json:"pact"`
+	Epoch   uint64              `json:"epoch"` // of the grantor that reigns
+	Rested  uint64              `json:"rested"`
+	Budgets map[string]*Account `json:"budgets"`
+	Holders map[string]*Holding `json:"holders"`
+}
+
+// Account is one budget as it stands.
+type Account struct {
+	Whole   int64           `json:"whole"`   // aimed at; more may be out while it is being lowered
+	Granted int64           `json:"granted"` // in force or believed to be
+	Resting map[int64]int64 `json:"resting"` // units given back, by the number of their rest
+	Pause   int64           `json:"pause"`   // of these, all together
+}
+
+// Holding is what one process of a node has been granted.
+type Holding struct {
+	Node  string           `json:"node"`
+	Seq   uint64           `json:"seq"` // of its latest request
+	Units map[string]int64 `json:"units"`
+	Want  map[string]int64 `json:"want"`
+}
+
+// Ask is a holder's request.
+type Ask struct {
+	Node   string           `json:"node"`
+	Holder string           `json:"holder"` // the process
+	Seq    uint64           `json:"seq"`    // rises with each request
+	Hold   map[string]int64 `json:"hold"`   // it uses no more than that from now on, until an answer to this very request
+	Want   map[string]int64 `json:"want"`
+}
+
+// Answer is what becomes of a request: what the holder may use until the lease has run out, counted from when it sent it.
+type Answer struct {
+	Epoch  uint64           `json:"epoch"`
+	Seq    uint64           `json:"seq"`
+	Lease  int64            `json:"lease"`
+	Units  map[string]int64 `json:"units"`
+	Target map[string]int64 `json:"target"` // what it should come down to
+	Whole  map[string]int64 `json:"whole"`
+}
+
+// Expiry says that a holder's lease has run out, if it has not asked since.
+type Expiry struct {
+	Holder string `json:"holder"`
+	Seq    uint64 `json:"seq"`
+}
+
+// Entry is one step of the books. All of it is taken, or nothing where the epoch is not the one that reigns.
+type Entry struct {
+	Epoch   uint64           `json:"epoch"`
+	Reign   bool             `json:"reign,omitempty"` // a grantor begins; its epoch is above all before it
+	Pact    *Pact            `json:"pact,omitempty"`  // with the first reign
+	Asks    []Ask            `json:"asks,omitempty"`
+	Expired []Expiry         `json:"expired,omitempty"`
+	Rested  map[string]int64 `json:"rested,omitempty"` // by budget: all rests up to that number are over
+	Whole   map[string]int64 `json:"whole,omitempty"`  // by operators
+}
+
+// founding is the number of the rest with which books begin; it lasts a lease longer than others.
+const founding = 0
+
+// NewBooks are empty; the first reign brings the pact.
+func NewBooks() *Books { return &Books{Budgets: map[string]*Account{}, Holders: map[string]*Holding{}} }
+
+// Apply takes a step, and gives the answer to each request in it, nil where that is not due one.
+func (b *Books) Apply(e *Entry) (answers []*Answer, err error) {
+	if e.Reign {
+		if e.Epoch <= b.Epoch {
+			return nil, fmt.Errorf("epoch %d has passed, %d reigns", e.Epoch, b.Epoch)
+		}
+		if b.Epoch == 0 && e.Pact != nil {
+			b.found(e.Pact)
+		}
+		b.Epoch = e.Epoch
+		return nil, nil
+	}
+	// Danger: a grantor that was stopped goes on with what it had decided, after another one has reigned.
+	if e.Epoch != b.Epoch {
+		return nil, fmt.Errorf("epoch %d has passed, %d reigns", e.Epoch, b.Epoch)
+	}
+	for name, whole := range e.Whole {
+		if t, found := b.Pact.Budgets[name]; found && whole >= t.Floor*b.Pact.Most+t.Reserve {
+			b.Budgets[name].Whole = whole
+		}
+	}
+	for name, upTo := range e.Rested {
+		if a := b.Budgets[name]; a != nil {
+			for number, units := range a.Resting {
+				if number <= upTo {
+					a.Pause -= units
+					delete(a.Resting, number)
+				}
+			}
+		}
+	}
+	for _, x := range e.Expired {
+		if h := b.Holders[x.Holder]; h != nil && h.Seq == x.Seq {
+			for name := range h.Units {
+				b.lower(h, name, 0)
+			}
+			delete(b.Holders, x.Holder)
+		}
+	}
+	answers = make([]*Answer, len(e.Asks))
+	for i := range e.Asks {
+		if b.hear(&e.Asks[i]) {
+			answers[i] = &Answer{Epoch: b.Epoch, Seq: e.Asks[i].Seq, Lease: b.Pact.Lease, Units: map[string]int64{}, Target: map[string]int64{}, Whole: map[string]int64{}}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.Budgets)) {
+		b.grant(name, e.Asks, answers)
+	}
+	return answers, nil
+}
+
+func (b *Books) found(p *Pact) {
+	b.Pact = *p
+	for name, t := range p.Budgets {
+		// Danger: a group before this one, of which no seat remembers anything, may have granted it all a moment ago.
+		pool := t.Whole - t.Floor*p.Most
+		b.Budgets[name] = &Account{Whole: t.Whole, Resting: map[int64]int64{founding: pool}, Pause: pool}
+	}
+}
+
+// hear takes down what a holder says of itself; false: it was heard before.
+// Danger: a request that comes twice or late. What it gave back then is in use again by now, and would be granted twice.
+func (b *Books) hear(a *Ask) bool {
+	h := b.Holders[a.Holder]
+	if h == nil {
+		// Danger: a late request of a process whose lease has run out would have it hold again, for one lease at most.
+		h = &Holding{Node: a.Node, Units: map[string]int64{}}
+		b.Holders[a.Holder] = h
+	} else if a.Seq <= h.Seq {
+		return false
+	}
+	h.Seq, h.Want = a.Seq, map[string]int64{}
+	for name, t := range b.Pact.Budgets {
+		b.lower(h, name, max(a.Hold[name], 0))
+		h.Want[name] = min(max(a.Want[name], 0), t.Whole)
+	}
+	return true
+}
+
+// lower takes units from a holder that uses them no more, and lets them rest.
+// Danger: what was sent on them counts for a window still; granted at once, two would fill the same window.
+func (b *Books) lower(h *Holding, name string, to int64) {
+	if units := h.Units[name] - to; units > 0 {
+		a := b.Budgets[name]
+		b.Rested++
+		a.Resting[int64(b.Rested)] = units
+		a.Granted, a.Pause, h.Units[name] = a.Granted-units, a.Pause+units, to
+	}
+}
+
+// grant gives those that ask what they want, as far as it is fair and free.
+func (b *Books) grant(name string, asks []Ask, answers []*Answer) {
+	a, t := b.Budgets[name], b.Pact.Budgets[name]
+	pool := max(a.Whole-t.Floor*b.Pact.Most, 0)
+	level := b.level(name, max(pool-t.Reserve, 0))
+	for i := range asks {
+		if answers[i] == nil {
+			continue
+		}
+		h := b.Holders[asks[i].Holder]
+		has, free := h.Units[name], pool-a.Granted-a.Pause
+		if has > 0 {
+			free -= t.Reserve // is for those that come
+		}
+		target := min(h.Want[name], max(level, t.Step))
+		switch {
+		case target > has && free > 0 && (target-has >= t.Step || has == 0 || target == h.Want[name]):
+			more := min(target-has, free)
+			a.Granted, h.Units[name] = a.Granted+more, has+more
+			target = max(target, has+more)
+		// Danger: shares that swing with each breath of demand rest more than they are used.
+		case target < has && has-target < t.Step && h.Want[name] > 0:
+			target = has
+		}
+		answers[i].Units[name], answers[i].Target[name], answers[i].Whole[name] = h.Units[name], target, a.Whole
+	}
+}
+
+// level is the most that anyone gets so that the sum of all wants, cut there, fits: max-min fairness.
+func (b *Books) level(name string, pool int64) int64 {
+	wants := make([]int64, 0, len(b.Holders))
+	for _, h := range b.Holders {
+		wants = append(wants, h.Want[name])
+	}
+	slices.Sort(wants)
+	for i, want := range wants {
+		if each := pool / int64(len(wants)-i); want >= each {
+			return each
+		}
+		pool -= want
+	}
+	return pool
+}
+
+// Out is what holders may have in force of a budget at most, with all floors.
+func (b *Books) Out(name string) int64 {
+	return b.Budgets[name].Granted + b.Pact.Budgets[name].Floor*b.Pact.Most
+}
+
+// Names are the holders in order.
+func (b *Books) Names() []string {
+	return slices.SortedFunc(maps.Keys(b.Holders), func(x, y string) int {
+		return cmp.Or(cmp.Compare(b.Holders[x].Node, b.Holders[y].Node), cmp.Compare(x, y))
+	})
+}
--- /dev/null
+++ b/internal/fleet/budget/holder.go
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package budget
+
+import "maps"
+
+// Holder is what one process may use. Its clock has to go on while the machine sleeps.
+type Holder struct {
+	Node, Name string
+	pact       *Pact
+	born       int64
+	seq, epoch uint64
+	sent       int64            // the latest request
+	open       bool             // it has no answer yet
+	until      int64            // when the lease runs out
+	units      map[string]int64 // under it
+	again      bool             // to ask at once: something is to be given back, or more was said to come
+}
+
+// NewHolder begins with nothing. name is the process's own, never used before.
+func NewHolder(node, name string, pact *Pact, now int64) *Holder {
+	return &Holder{Node: node, Name: name, pact: pact, born: now, units: map[string]int64{}}
+}
+
+// Units may be used now.
+// Danger: a process before this one may have used its node's floor a moment ago. So it counts from a window on.
+func (h *Holder) Units(budget string, now int64) int64 {
+	t, units := h.pact.Budgets[budget], int64(0)
+	if now-h.born >= h.pact.stretched(t.Window) {
+		units = t.Floor
+	}
+	return units + h.Leased(budget, now)
+}
+
+// Leased is the part of them beyond the floor.
+func (h *Holder) Leased(budget string, now int64) int64 {
+	if now >= h.until {
+		return 0
+	}
+	return h.units[budget]
+}
+
+// Ask makes the next request; want is what the node could use of each budget, beyond its floor.
+func (h *Holder) Ask(want map[string]int64, now int64) Ask {
+	if now >= h.until {
+		clear(h.units)
+	}
+	h.seq++
+	// Danger: counted from the answer, a lease would end after the grantor believes that it has.
+	h.sent, h.open, h.again = now, true, false
+	return Ask{Node: h.Node, Holder: h.Name, Seq: h.seq, Hold: maps.Clone(h.units), Want: want}
+}
+
+// Take accepts the answer to the latest request, and no other.
+// Danger: an answer that comes late or twice tells of units that a later request gave back.
+func (h *Holder) Take(a *Answer, now int64) bool {
+	if !h.open || a.Seq != h.seq || a.Epoch < h.epoch {
+		return false
+	}
+	h.open, h.epoch = false, a.Epoch
+	h.until = h.sent + min(a.Lease, h.pact.Lease)
+	for name := range h.pact.Budgets {
+		units := max(a.Units[name], 0)
+		if target := max(a.Target[name], 0); target < units {
+			units, h.again = target, true // not used from now on; the next request gives it back
+		}
+		h.units[name] = units
+	}
+	return now < h.until
+}
+
+// Epoch is the latest heard of.
+func (h *Holder) Epoch() uint64 { return h.epoch }
+
+// Next is when to ask again: thrice in a lease, so that two requests may be lost; at once where units are to be given back.
+func (h *Holder) Next() int64 {
+	if h.again {
+		return h.sent
+	}
+	return h.sent + h.pact.Lease/3
+}
+
+// Until is when the lease ends by this process's clock.
+func (h *Holder) Until() int64 { return h.until }
--- /dev/null
+++ b/internal/fleet/budget/reign.go
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package budget
+
+import (
+	"maps"
+	"slices"
+)
+
+// Reign is the clock of the seat that grants. It is not part of the books: no two clocks are compared.
+type Reign struct {
+	Epoch uint64
+	pact  *Pact
+	ends  map[string]end             // by holder
+	rests map[string]map[int64]int64 // by budget and number of the rest: when it is over
+}
+
+type end struct {
+	seq uint64
+	at  int64
+}
+
+// NewReign begins a reign over the books as they are.
+// Danger: the one before may have granted a moment ago, and its clock is not ours. All that is out counts as granted now,
+// and all that rests as given back now.
+func NewReign(b *Books, epoch uint64, now int64) *Reign {
+	r := &Reign{Epoch: epoch, pact: &b.Pact, ends: map[string]end{}, rests: map[string]map[int64]int64{}}
+	for name, h := range b.Holders {
+		r.ends[name] = end{h.Seq, now + r.pact.stretched(r.pact.Lease)}
+	}
+	r.Note(b, nil, nil, now)
+	return r
+}
+
+// Note takes down a step that was agreed on, once that is known: what it granted runs from now at the latest.
+// answers are those that Apply gave.
+func (r *Reign) Note(b *Books, e *Entry, answers []*Answer, now int64) {
+	for i, a := range answers {
+		if a != nil {
+			r.ends[e.Asks[i].Holder] = end{a.Seq, now + r.pact.stretched(r.pact.Lease)}
+		}
+	}
+	maps.DeleteFunc(r.ends, func(name string, _ end) bool { return b.Holders[name] == nil })
+	for name, a := range b.Budgets {
+		rests := r.rests[name]
+		if rests == nil {
+			rests = map[int64]int64{}
+			r.rests[name] = rests
+		}
+		maps.DeleteFunc(rests, func(number, _ int64) bool { _, is := a.Resting[number]; return !is })
+		for number := range a.Resting {
+			if _, known := rests[number]; !known {
+				rests[number] = now + r.pact.stretched(r.pact.Budgets[name].Window)
+				if number == founding {
+					rests[number] += r.pact.stretched(r.pact.Lease)
+				}
+			}
+		}
+	}
+}
+
+// Due is what has run out by now, as a step for the books; nil: nothing has.
+func (r *Reign) Due(now int64) *Entry {
+	e := &Entry{Epoch: r.Epoch, Rested: map[string]int64{}}
+	for _, name := range slices.Sorted(maps.Keys(r.ends)) {
+		if x := r.ends[name]; now >= x.at {
+			e.Expired = append(e.Expired, Expiry{name, x.seq})
+		}
+	}
+	for name, rests := range r.rests {
+		// Rests are numbered in order, but one begun later may not be over when one before it still lasts.
+		upTo := int64(-1)
+		for _, number := range slices.Sorted(maps.Keys(rests)) {
+			if now < rests[number] {
+				break
+			}
+			upTo = number
+		}
+		if upTo >= 0 {
+			e.Rested[name] = upTo
+		}
+	}
+	if len(e.Expired) == 0 && len(e.Rested) == 0 {
+		return nil
+	}
+	return e
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,340 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package fleet holds budgets together with other nodes: it asks for leases, keeps to them at the moment of sending, and on
+// some nodes keeps a seat of the group that grants. What is divided and how is internal/fleet/budget's business.
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
+
+	"fernrail/internal/config"
+	"fernrail/internal/fleet/budget"
+)
+
+// Clock tells nanoseconds that go on while the process is stopped and the machine sleeps.
+type Clock func() int64
+
+// Boottime is the machine's own such clock. Danger: the runtime's monotonic clock stands still while a machine sleeps.
+func Boottime() int64 {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // every Linux since 2.6.39 has it
+	}
+	return t.Nano()
+}
+
+// Fleet is one process's part. It is safe for use by many goroutines.
+type Fleet struct {
+	plan  *config.Fleet
+	name  string
+	clock Clock
+	log   zerolog.Logger
+	calls *calls
+	seat  *seat // nil: this node has none
+	kick  chan struct{}
+	done  chan struct{}
+	stop  context.CancelFunc
+
+	mu     sync.Mutex
+	holder *budget.Holder
+	shares map[string]*share
+}
+
+// share is what this node has of one budget, and what it did with it.
+type share struct {
+	terms   budget.Terms
+	meter   *budget.Meter
+	want    float64 // units, fading
+	whole   int64   // as last heard
+	sent    int64   // counted at the sending
+	lapsed  int64   // held back there: the lease had run out, or had come down
+	slipped int64   // gone out, though the lease had run out once the write was over
+}
+
+// fading is what is left of a node's demand from one request to the next when it uses less; a lease outlasts three.
+const fading = 0.8
+
+// headroom over what was used, so that a node that grows seldom waits for more.
+const headroom = 1.25
+
+// hurries is how many requests a node that needs more makes in a lease at most; one that needs no more makes three.
+const hurries = 15
+
+// Start begins to ask for leases, and takes the seat if the node has one. Close ends both.
+func Start(name string, plan *config.Fleet, clock Clock, log zerolog.Logger) (*Fleet, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	f := &Fleet{plan: plan, name: name, clock: clock, log: log.With().Str("part", "fleet").Logger(), kick: make(chan struct{}, 1),
+		done: make(chan struct{}), stop: stop, shares: map[string]*share{}}
+	f.holder = budget.NewHolder(name, identity(), &plan.Pact, clock())
+	for b, t := range plan.Pact.Budgets {
+		f.shares[b] = &share{terms: t, meter: budget.NewMeter(&plan.Pact, b), whole: t.Whole}
+	}
+	f.calls = newCalls(plan)
+	if own := plan.Seat(name); own != nil {
+		var err error
+		if f.seat, err = takeSeat(ctx, name, plan, clock, f.calls, f.log); err != nil {
+			stop()
+			return nil, err
+		}
+	}
+	go f.keep(ctx)
+	return f, nil
+}
+
+// Close gives the lease up and leaves the seat.
+func (f *Fleet) Close() {
+	f.stop()
+	<-f.done
+	if f.seat != nil {
+		f.seat.leave()
+	}
+}
+
+// identity is a name that no process before this one had.
+func identity() string {
+	b := make([]byte, 8)
+	rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+// keep asks for leases until the end.
+func (f *Fleet) keep(ctx context.Context) {
+	defer close(f.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	kicked, at, heard, hurry := false, 0, true, time.Duration(f.plan.Pact.Lease/hurries)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.kick:
+			if !kicked {
+				kicked = true
+				timer.Reset(hurry)
+			}
+			continue
+		case <-timer.C:
+		}
+		kicked = false
+		ask := f.ask()
+		call, cancel := context.WithTimeout(ctx, time.Duration(f.plan.Pact.Lease/3))
+		answer, to, err := f.calls.ask(call, at, &ask)
+		cancel()
+		at = to
+		if err == nil {
+			f.take(answer)
+		}
+		if ok := err == nil; ok != heard {
+			heard = ok
+			f.log.Warn().AnErr("last", err).Bool("heard", ok).Msg("leases")
+		}
+		f.mu.Lock()
+		next := time.Duration(f.holder.Next() - f.clock())
+		f.mu.Unlock()
+		if err != nil {
+			next = min(next, time.Duration(f.plan.Pact.Lease/10)) // another seat
+		}
+		timer.Reset(max(next, hurry/8))
+	}
+}
+
+// ask makes the next request from what was used and refused since the last one.
+func (f *Fleet) ask() budget.Ask {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, want := f.clock(), map[string]int64{}
+	for name, s := range f.shares {
+		peak, refused := s.meter.Demand(now)
+		peak *= headroom
+		if refused {
+			peak = max(peak, float64(2*f.holder.Units(name, now)+s.terms.Step))
+		}
+		s.want = min(max(peak, s.want*fading), float64(s.terms.Whole))
+		if beyond := s.want - float64(s.terms.Floor); beyond > 0.5 {
+			want[name] = int64(beyond + 0.99)
+		}
+	}
+	return f.holder.Ask(want, now)
+}
+
+func (f *Fleet) take(a *budget.Answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.holder.Take(a, f.clock())
+	for name, whole := range a.Whole {
+		if s := f.shares[name]; s != nil {
+			s.whole = whole
+		}
+	}
+}
+
+// May says whether this node may use so many units more now; it may where the budget is not held together.
+func (f *Fleet) May(name, key string, units float64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.shares[name]
+	if s == nil {
+		return true
+	}
+	now := f.clock()
+	if s.meter.Used(key, now)+units <= float64(f.holder.Units(name, now)) {
+		return true
+	}
+	s.meter.Miss(key, units, now)
+	f.hurry()
+	return false
+}
+
+// Whole is what all nodes have of a budget, by the pact.
+func (f *Fleet) Whole(name string) float64 { return float64(f.plan.Pact.Budgets[name].Whole) }
+
+// SetWhole has the seats agree on another whole. A lowered one waits for what is out.
+func (f *Fleet) SetWhole(name string, units int64) error {
+	if _, is := f.plan.Pact.Budgets[name]; !is {
+		return fmt.Errorf("no budget is called %.40q", name)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	err := errElsewhere
+	for _, s := range f.plan.Seats {
+		var done map[string]int64
+		if err = f.calls.post(ctx, s.Address, "/whole", map[string]int64{name: units}, &done); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// hurry has the next request made soon. Under mu.
+func (f *Fleet) hurry() {
+	select {
+	case f.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Charge is what one sending takes of several budgets. The zero one is of none.
+type Charge struct {
+	fleet *Fleet
+	uses  []charged
+}
+
+type charged struct {
+	share *share
+	name  string
+	use   *budget.Use
+}
+
+// Add reserves units of one more budget; false: there are none left, and nothing may be sent.
+func (c *Charge) Add(f *Fleet, name, key string, units float64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.shares[name]
+	if s == nil {
+		return true
+	}
+	c.fleet = f
+	now := f.clock()
+	use := s.meter.Reserve(key, units, f.holder.Units(name, now), now)
+	if use == nil {
+		f.hurry()
+		return false
+	}
+	c.uses = append(c.uses, charged{s, name, use})
+	return true
+}
+
+// Send says whether what was reserved may go out at this very moment. Sent has to be called once it has.
+func (c *Charge) Send() bool {
+	if c.fleet == nil {
+		return true
+	}
+	f := c.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	for _, u := range c.uses {
+		if !u.share.meter.Send(u.use, f.holder.Units(u.name, now), now) {
+			u.share.lapsed++
+			return false
+		}
+	}
+	for _, u := range c.uses {
+		u.share.sent++
+	}
+	return true
+}
+
+// Sent counts what slipped: sent under a lease that had run out by the time the write was over. A process can be stopped
+// between any two of its steps.
+func (c *Charge) Sent() {
+	if c.fleet == nil {
+		return
+	}
+	f := c.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	for _, u := range c.uses {
+		if u.share.meter.Used(u.use.Key(), now) > float64(f.holder.Units(u.name, now)) && now >= f.holder.Until() {
+			u.share.slipped++
+		}
+	}
+}
+
+// Void gives back what never left.
+func (c *Charge) Void() {
+	if c.fleet == nil {
+		return
+	}
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	for _, u := range c.uses {
+		u.share.meter.Void(u.use)
+	}
+	c.uses = nil
+}
+
+// Figures is what operators see of a node's part.
+type Figures struct {
+	Epoch   uint64              `json:"epoch"`
+	LeaseMs int64               `json:"lease_ms"` // what is left of it; 0: the node lives on its floors
+	Budgets map[string]Standing `json:"budgets"`
+	Seat    *SeatFigures        `json:"seat,omitempty"`
+}
+
+// Standing is one budget at one node.
+type Standing struct {
+	Whole   int64   `json:"whole"`
+	Floor   int64   `json:"floor"`
+	Mine    int64   `json:"mine"` // floor and lease, now
+	Used    float64 `json:"used"` // of it, the most by any one executor
+	Want    float64 `json:"want"`
+	Sent    int64   `json:"sent"`
+	Lapsed  int64   `json:"lapsed"`
+	Slipped int64   `json:"slipped"`
+}
+
+// Read gives the figures as they stand.
+func (f *Fleet) Read() *Figures {
+	out := &Figures{Budgets: map[string]Standing{}}
+	f.mu.Lock()
+	now := f.clock()
+	out.Epoch, out.LeaseMs = f.holder.Epoch(), max(f.holder.Until()-now, 0)/1e6
+	for name, s := range f.shares {
+		out.Budgets[name] = Standing{s.whole, s.terms.Floor, f.holder.Units(name, now), s.meter.Most(now), s.want, s.sent, s.lapsed, s.slipped}
+	}
+	f.mu.Unlock()
+	if f.seat != nil {
+		out.Seat = f.seat.read()
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/seat.go
@@ -0,0 +1,653 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
+
+	"fernrail/internal/config"
+	"fernrail/internal/fleet/budget"
+)
+
+const (
+	gather   = 5 * time.Millisecond // in which requests are taken down together; one write to disk serves them all
+	batch    = 512                  // requests taken down at once, at most
+	waiting  = 4096                 // requests that wait at a seat; more are turned away
+	inspect  = 25 * time.Millisecond
+	places   = 1024 // connections to a seat at most; each node has one or two
+	greeting = 2 * time.Second
+	keepLogs = 4096 // entries behind a snapshot that a seat which lags can still be sent one by one
+	snapshot = 8192 // entries after which one is made
+)
+
+// seat is a member of the group that grants.
+type seat struct {
+	name, id string // id: of this seat's memory; another one once that is lost
+	plan     *config.Fleet
+	clock    Clock
+	calls    *calls
+	log      zerolog.Logger
+	books    *books
+	raft     *raft.Raft
+	store    io.Closer // nil: in memory
+	wire     *wire
+	server   *http.Server
+	asks     chan *asked
+	orders   chan *order
+	all      sync.WaitGroup
+	stop     context.CancelFunc
+
+	mu      sync.Mutex
+	fault   string // why it does not grant, though it was elected
+	reigns  bool
+	refused int64
+}
+
+// asked is a request that waits for its answer.
+type asked struct {
+	budget.Ask
+	answer chan *budget.Answer // nil comes: not granted here
+}
+
+// order is an operators' change of a whole.
+type order struct {
+	whole map[string]int64
+	done  chan error
+}
+
+// takeSeat opens the seat's memory and its door.
+func takeSeat(ctx context.Context, name string, plan *config.Fleet, clock Clock, c *calls, log zerolog.Logger) (*seat, error) {
+	ctx, stop := context.WithCancel(ctx)
+	s := &seat{name: name, plan: plan, clock: clock, calls: c, log: log, books: &books{books: budget.NewBooks()}, asks: make(chan *asked, waiting), orders: make(chan *order), stop: stop}
+	fail := func(err error) (*seat, error) {
+		stop()
+		if s.store != nil {
+			s.store.Close()
+		}
+		return nil, err
+	}
+	logs, stable, snaps, err := s.remember()
+	if err != nil {
+		return fail(fmt.Errorf("fleet.dir: %w", err))
+	}
+	l, err := net.Listen("tcp", plan.Listen)
+	if err != nil {
+		return fail(fmt.Errorf("fleet.listen: %w", err))
+	}
+	s.wire = newWire(netutil.LimitListener(l, places), s.id, plan, c, log)
+	c0 := raft.DefaultConfig()
+	c0.LocalID = raft.ServerID(s.id)
+	c0.HeartbeatTimeout, c0.ElectionTimeout, c0.LeaderLeaseTimeout = plan.Pace, plan.Pace, plan.Pace/2
+	c0.CommitTimeout = max(plan.Pace/10, time.Millisecond)
+	c0.SnapshotThreshold, c0.TrailingLogs = snapshot, keepLogs
+	c0.Logger = hclog.New(&hclog.LoggerOptions{Output: &logged{log}, Level: hclog.Warn, DisableTime: true})
+	transport := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: s.wire, MaxPool: 3, Timeout: 4 * plan.Pace, Logger: c0.Logger})
+	if s.raft, err = raft.NewRaft(c0, s.books, logs, stable, snaps, transport); err != nil {
+		l.Close()
+		return fail(fmt.Errorf("fleet.dir: %w", err))
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /ask", s.serveAsk)
+	mux.HandleFunc("POST /who", s.serveWho)
+	mux.HandleFunc("POST /admit", s.serveAdmit)
+	mux.HandleFunc("POST /whole", s.serveWhole)
+	s.server = &http.Server{Handler: s.guard(mux), ReadTimeout: greeting, WriteTimeout: greeting + time.Duration(plan.Pact.Lease), IdleTimeout: time.Minute,
+		MaxHeaderBytes: 4096, ErrorLog: nil}
+	s.all.Go(func() { s.server.Serve(s.wire.plain) })
+	s.all.Go(func() { s.wire.accept(l) })
+	s.all.Go(func() { s.reign(ctx) })
+	s.all.Go(func() { s.find(ctx) })
+	return s, nil
+}
+
+// leave ends the seat's part.
+func (s *seat) leave() {
+	s.stop()
+	s.server.Close()
+	s.raft.Shutdown().Error()
+	s.wire.Close()
+	s.all.Wait()
+	if s.store != nil {
+		s.store.Close()
+	}
+}
+
+// remember opens what the seat has agreed to. Without a directory it begins anew, under another id, at each start.
+// Danger: a seat that has lost its memory and answers as before would vote twice in one election, and forget what it had
+// agreed to have granted. The id is lost with the memory, and whoever has another id is not part of the group.
+func (s *seat) remember() (logs raft.LogStore, stable raft.StableStore, snaps raft.SnapshotStore, err error) {
+	if s.plan.Dir == "" {
+		s.id = s.name + "/" + identity()
+		store := raft.NewInmemStore()
+		return store, store, raft.NewInmemSnapshotStore(), nil
+	}
+	if err := os.MkdirAll(s.plan.Dir, 0o700); err != nil {
+		return nil, nil, nil, err
+	}
+	store, err := raftboltdb.NewBoltStore(filepath.Join(s.plan.Dir, "seat.db"))
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	s.store = store
+	id, err := store.Get([]byte("fernrail id"))
+	if err != nil && !errors.Is(err, raftboltdb.ErrKeyNotFound) {
+		return nil, nil, nil, err
+	}
+	if len(id) == 0 {
+		id = []byte(s.name + "/" + identity())
+		if err := store.Set([]byte("fernrail id"), id); err != nil {
+			return nil, nil, nil, err
+		}
+	}
+	// Danger: a directory that was another seat's.
+	if s.id = string(id); nameOf(s.id) != s.name {
+		return nil, nil, nil, fmt.Errorf("%s is the memory of %s", s.plan.Dir, nameOf(s.id))
+	}
+	snaps, err = raft.NewFileSnapshotStoreWithLogger(s.plan.Dir, 2, hclog.NewNullLogger())
+	return store, store, snaps, err
+}
+
+// nameOf is the node's name in a seat's id.
+func nameOf(id string) string { name, _, _ := strings.Cut(id, "/"); return name }
+
+// logged takes raft's log over, by the line.
+type logged struct{ zerolog.Logger }
+
+func (l *logged) Write(b []byte) (int, error) {
+	l.Warn().Str("raft", strings.TrimSpace(string(b))).Msg("seat")
+	return len(b), nil
+}
+
+// books are the replicated state; raft alone changes it.
+type books struct {
+	mu    sync.Mutex
+	books *budget.Books
+}
+
+type applied struct {
+	answers []*budget.Answer
+	err     error
+}
+
+func (b *books) Apply(l *raft.Log) any {
+	var e budget.Entry
+	if err := json.Unmarshal(l.Data, &e); err != nil {
+		return applied{err: err}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	answers, err := b.books.Apply(&e)
+	return applied{answers, err}
+}
+
+func (b *books) Snapshot() (raft.FSMSnapshot, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	text, err := json.Marshal(b.books)
+	return image(text), err
+}
+
+func (b *books) Restore(r io.ReadCloser) error {
+	defer r.Close()
+	fresh := budget.NewBooks()
+	if err := json.NewDecoder(r).Decode(fresh); err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.books = fresh
+	return nil
+}
+
+type image []byte
+
+func (i image) Persist(sink raft.SnapshotSink) error {
+	if _, err := sink.Write(i); err != nil {
+		sink.Cancel()
+		return err
+	}
+	return sink.Close()
+}
+
+func (i image) Release() {}
+
+// commit has a step agreed on by most seats, and gives what came of it.
+// Danger: a seat that was stopped and goes on believes that it is still the one that grants. Nothing is answered before
+// most seats have written the step down under its reign, and that proves that no other reign had begun when they did.
+func (s *seat) commit(e *budget.Entry) ([]*budget.Answer, error) {
+	text, err := json.Marshal(e)
+	if err != nil {
+		return nil, err
+	}
+	f := s.raft.Apply(text, time.Duration(s.plan.Pact.Lease))
+	if err := f.Error(); err != nil {
+		return nil, err
+	}
+	done := f.Response().(applied)
+	return done.answers, done.err
+}
+
+// reign grants for as long as this seat is the elected one.
+func (s *seat) reign(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case elected := <-s.raft.LeaderCh():
+			if !elected {
+				continue
+			}
+		}
+		err := s.grants(ctx)
+		s.mu.Lock()
+		s.reigns, s.fault = false, ""
+		if err != nil {
+			s.fault = err.Error()
+		}
+		s.mu.Unlock()
+		if ctx.Err() != nil {
+			return
+		}
+		s.log.Warn().Err(err).Msg("this seat grants no more")
+		s.turnAway()
+		// Danger: a seat with a full disk that stays elected, and grants nothing. The others go on without it.
+		if s.raft.State() == raft.Leader {
+			s.raft.LeadershipTransfer().Error()
+		}
+	}
+}
+
+// grants is one reign, up to its end.
+func (s *seat) grants(ctx context.Context) error {
+	if err := s.raft.Barrier(time.Duration(s.plan.Pact.Lease)).Error(); err != nil {
+		return err
+	}
+	epoch := s.raft.CurrentTerm()
+	if _, err := s.commit(&budget.Entry{Reign: true, Epoch: epoch, Pact: &s.plan.Pact}); err != nil {
+		return err
+	}
+	s.books.mu.Lock()
+	reign := budget.NewReign(s.books.books, epoch, s.clock())
+	s.books.mu.Unlock()
+	s.mu.Lock()
+	s.reigns = true
+	s.mu.Unlock()
+	s.log.Info().Uint64("epoch", epoch).Msg("this seat grants")
+	tick := time.NewTicker(inspect)
+	defer tick.Stop()
+	for s.raft.State() == raft.Leader {
+		var err error
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			s.books.mu.Lock()
+			due := reign.Due(s.clock())
+			s.books.mu.Unlock()
+			if due != nil {
+				if _, err = s.commit(due); err == nil {
+					s.books.mu.Lock()
+					reign.Note(s.books.books, due, nil, s.clock())
+					s.books.mu.Unlock()
+				}
+			}
+		case o := <-s.orders:
+			_, err = s.commit(&budget.Entry{Epoch: epoch, Whole: o.whole})
+			o.done <- err
+		case first := <-s.asks:
+			err = s.answer(reign, s.together(first))
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return errors.New("another seat was elected")
+}
+
+// together gathers requests that come within a moment.
+func (s *seat) together(first *asked) []*asked {
+	all, enough := []*asked{first}, time.NewTimer(gather)
+	defer enough.Stop()
+	for len(all) < batch {
+		select {
+		case a := <-s.asks:
+			all = append(all, a)
+		case <-enough.C:
+			return all
+		}
+	}
+	return all
+}
+
+func (s *seat) answer(reign *budget.Reign, all []*asked) error {
+	e := &budget.Entry{Epoch: reign.Epoch}
+	for _, a := range all {
+		e.Asks = append(e.Asks, a.Ask)
+	}
+	answers, err := s.commit(e)
+	if err == nil {
+		s.books.mu.Lock()
+		reign.Note(s.books.books, e, answers, s.clock())
+		s.books.mu.Unlock()
+	}
+	for i, a := range all {
+		if err != nil {
+			a.answer <- nil
+		} else {
+			a.answer <- answers[i]
+		}
+	}
+	return err
+}
+
+// turnAway answers those that still wait.
+func (s *seat) turnAway() {
+	for {
+		select {
+		case a := <-s.asks:
+			a.answer <- nil
+		default:
+			return
+		}
+	}
+}
+
+// find sees to it that the seat is part of the group. A group is founded once, when all seats are there and none has any
+// memory; after that whoever has lost its memory is let in by the others, under its new id.
+func (s *seat) find(ctx context.Context) {
+	tick := time.NewTicker(max(s.plan.Pace, 50*time.Millisecond))
+	defer tick.Stop()
+	for {
+		if !s.blank() && s.member() {
+			// Part of it; but a group may have put this id out since. That shows when nobody is heard for long.
+		} else if !s.found(ctx) {
+			s.enter(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// blank says whether the seat remembers no group.
+func (s *seat) blank() bool {
+	c := s.raft.GetConfiguration()
+	return c.Error() != nil || len(c.Configuration().Servers) == 0
+}
+
+func (s *seat) member() bool {
+	c := s.raft.GetConfiguration()
+	if c.Error() != nil {
+		return true
+	}
+	for _, x := range c.Configuration().Servers {
+		if string(x.ID) == s.id {
+			return true
+		}
+	}
+	return false
+}
+
+// who is what a seat says of itself.
+type who struct {
+	Name  string `json:"name"`
+	ID    string `json:"id"`
+	Blank bool   `json:"blank"`
+}
+
+// found founds the group if this seat is the one that does.
+func (s *seat) found(ctx context.Context) bool {
+	var servers []raft.Server
+	first := s.name
+	for _, x := range s.plan.Seats {
+		w := who{s.name, s.id, s.blank()}
+		if x.Name != s.name {
+			call, cancel := context.WithTimeout(ctx, time.Second)
+			err := s.calls.post(call, x.Address, "/who", &who{s.name, s.id, s.blank()}, &w)
+			cancel()
+			if err != nil || w.Name != x.Name || nameOf(w.ID) != x.Name {
+				return false
+			}
+		}
+		if !w.Blank {
+			return false
+		}
+		first = min(first, x.Name)
+		servers = append(servers, raft.Server{Suffrage: raft.Voter, ID: raft.ServerID(w.ID), Address: raft.ServerAddress(w.ID)})
+	}
+	if first != s.name {
+		return true // another one does
+	}
+	err := s.raft.BootstrapCluster(raft.Configuration{Servers: servers}).Error()
+	s.log.Info().Err(err).Int("seats", len(servers)).Msg("the group is founded")
+	return true
+}
+
+// enter asks the others to let this seat in.
+func (s *seat) enter(ctx context.Context) {
+	for _, x := range s.plan.Seats {
+		if x.Name == s.name {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, time.Second)
+		var done who
+		err := s.calls.post(call, x.Address, "/admit", &who{s.name, s.id, true}, &done)
+		cancel()
+		if err == nil {
+			s.log.Info().Str("by", x.Name).Msg("this seat is let in")
+			return
+		}
+	}
+}
+
+// admit puts a seat's new id in the place of the one that it had.
+func (s *seat) admit(w *who) error {
+	if s.plan.Seat(w.Name) == nil || nameOf(w.ID) != w.Name {
+		return fmt.Errorf("%.60q has no seat", w.Name)
+	}
+	c := s.raft.GetConfiguration()
+	if err := c.Error(); err != nil {
+		return err
+	}
+	index := c.Index()
+	for _, x := range c.Configuration().Servers {
+		if string(x.ID) == w.ID {
+			return nil
+		}
+	}
+	for _, x := range c.Configuration().Servers {
+		if nameOf(string(x.ID)) == w.Name {
+			f := s.raft.RemoveServer(x.ID, index, time.Second)
+			if err := f.Error(); err != nil {
+				return err
+			}
+			index = f.Index()
+		}
+	}
+	s.log.Warn().Str("seat", w.Name).Msg("a seat that lost its memory is let in anew")
+	return s.raft.AddVoter(raft.ServerID(w.ID), raft.ServerAddress(w.ID), index, time.Second).Error()
+}
+
+// guard lets calls of this fleet in, and no others.
+func (s *seat) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		if !s.calls.known(r.Header.Get(tokenHeader)) {
+			s.wire.stranger("a call of no node of this fleet and version")
+			out.Header().Set("Connection", "close")
+			http.Error(out, "not of this fleet, or of another version", http.StatusForbidden)
+			return
+		}
+		r.Body = http.MaxBytesReader(out, r.Body, maxCall)
+		next.ServeHTTP(out, r)
+	})
+}
+
+func read(out http.ResponseWriter, r *http.Request, in any) bool {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(in); err != nil {
+		http.Error(out, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func (s *seat) serveAsk(out http.ResponseWriter, r *http.Request) {
+	a := &asked{answer: make(chan *budget.Answer, 1)}
+	if !read(out, r, &a.Ask) {
+		return
+	}
+	if a.Node == "" || a.Holder == "" || len(a.Node)+len(a.Holder) > 256 {
+		http.Error(out, "no name", http.StatusBadRequest)
+		return
+	}
+	var given *budget.Answer
+	if s.grantsNow() {
+		select {
+		case s.asks <- a:
+			select {
+			case given = <-a.answer:
+			case <-r.Context().Done():
+				return
+			}
+		default:
+			s.mu.Lock()
+			s.refused++
+			s.mu.Unlock()
+		}
+	}
+	if given == nil {
+		_, id := s.raft.LeaderWithID()
+		json.NewEncoder(out).Encode(redirect{nameOf(string(id))})
+		return
+	}
+	json.NewEncoder(out).Encode(given)
+}
+
+func (s *seat) grantsNow() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reigns
+}
+
+func (s *seat) serveWho(out http.ResponseWriter, _ *http.Request) {
+	json.NewEncoder(out).Encode(who{s.name, s.id, s.blank()})
+}
+
+func (s *seat) serveAdmit(out http.ResponseWriter, r *http.Request) {
+	var w who
+	if !read(out, r, &w) {
+		return
+	}
+	if s.raft.State() != raft.Leader {
+		http.Error(out, errElsewhere.Error(), http.StatusMisdirectedRequest)
+		return
+	}
+	if err := s.admit(&w); err != nil {
+		http.Error(out, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	json.NewEncoder(out).Encode(who{s.name, s.id, false})
+}
+
+func (s *seat) serveWhole(out http.ResponseWriter, r *http.Request) {
+	o := &order{done: make(chan error, 1)}
+	if !read(out, r, &o.whole) {
+		return
+	}
+	for name, whole := range o.whole {
+		t, is := s.plan.Pact.Budgets[name]
+		if least := t.Floor*s.plan.Pact.Most + t.Reserve; !is || whole < least || whole > t.Whole*64 {
+			http.Error(out, fmt.Sprintf("%.40q: no such budget, or a whole under its floors and reserve (%d)", name, least), http.StatusBadRequest)
+			return
+		}
+	}
+	if !s.grantsNow() {
+		http.Error(out, errElsewhere.Error(), http.StatusMisdirectedRequest)
+		return
+	}
+	select {
+	case s.orders <- o:
+		if err := <-o.done; err != nil {
+			http.Error(out, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		json.NewEncoder(out).Encode(o.whole)
+	case <-r.Context().Done():
+	}
+}
+
+// SeatFigures is what operators see of a seat.
+type SeatFigures struct {
+	ID      string                   `json:"id"`
+	State   string                   `json:"state"`
+	Grants  bool                     `json:"grants"`
+	Granter string                   `json:"granter"`
+	Epoch   uint64                   `json:"epoch"`
+	Seats   []string                 `json:"seats"`
+	Budgets map[string]BudgetFigures `json:"budgets"`
+	Holders []HolderFigures          `json:"holders"`
+	Fault   string                   `json:"fault,omitempty"`
+}
+
+// BudgetFigures is one budget in a seat's books.
+type BudgetFigures struct {
+	Whole   int64 `json:"whole"`
+	Floors  int64 `json:"floors"`
+	Granted int64 `json:"granted"`
+	Resting int64 `json:"resting"`
+	Free    int64 `json:"free"`
+}
+
+// HolderFigures is one process in a seat's books.
+type HolderFigures struct {
+	Node  string           `json:"node"`
+	Units map[string]int64 `json:"units"`
+	Want  map[string]int64 `json:"want"`
+}
+
+func (s *seat) read() *SeatFigures {
+	_, granter := s.raft.LeaderWithID()
+	out := &SeatFigures{ID: s.id, State: strings.ToLower(s.raft.State().String()), Granter: nameOf(string(granter)), Budgets: map[string]BudgetFigures{}}
+	if c := s.raft.GetConfiguration(); c.Error() == nil {
+		for _, x := range c.Configuration().Servers {
+			out.Seats = append(out.Seats, string(x.ID))
+		}
+	}
+	s.mu.Lock()
+	out.Grants, out.Fault = s.reigns, s.fault
+	s.mu.Unlock()
+	s.books.mu.Lock()
+	defer s.books.mu.Unlock()
+	b := s.books.books
+	out.Epoch = b.Epoch
+	for name, a := range b.Budgets {
+		floors := b.Pact.Budgets[name].Floor * b.Pact.Most
+		out.Budgets[name] = BudgetFigures{a.Whole, floors, a.Granted, a.Pause, a.Whole - floors - a.Granted - a.Pause}
+	}
+	for _, name := range b.Names() {
+		h := b.Holders[name]
+		out.Holders = append(out.Holders, HolderFigures{h.Node, maps.Clone(h.Units), maps.Clone(h.Want)})
+	}
+	return out
+}
--- a/internal/protocol/executor.go
+++ b/internal/protocol/executor.go
@@ -176,6 +176,13 @@
 	Address string
 	Request *Request
 	Budget  time.Duration // how long the node will wait
+	Admit   Admission     // nil: none is needed
+}
+
+// Admission is asked at the very moment at which a job's first byte would go out, and told when it has.
+type Admission interface {
+	Send() bool
+	Sent()
 }
 
 // once hides that a body could be read again.
--- /dev/null
+++ b/internal/rig/relay.go
@@ -0,0 +1,185 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package rig
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Relay is the way from one node to another, each direction on its own. What goes by can be delayed, held, or reset.
+type Relay struct {
+	Address string
+	to      string
+
+	mu    sync.Mutex
+	ways  [2]way // there, back
+	conns map[net.Conn]bool
+	moved sync.Cond
+	over  bool
+}
+
+type way struct {
+	cut   bool // nothing goes by, nothing is told: bytes are held until it is healed
+	delay time.Duration
+}
+
+// Direction is a way of a relay.
+type Direction int
+
+const (
+	There Direction = iota // from the node that calls
+	Back
+)
+
+func newRelay(t testing.TB, to string) *Relay {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &Relay{Address: l.Addr().String(), to: to, conns: map[net.Conn]bool{}}
+	r.moved.L = &r.mu
+	var all sync.WaitGroup
+	all.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			all.Go(func() { r.carry(c, &all) })
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		r.mu.Lock()
+		r.over = true
+		r.moved.Broadcast()
+		for c := range r.conns {
+			c.Close()
+		}
+		r.mu.Unlock()
+		all.Wait()
+	})
+	return r
+}
+
+// carry takes one connection on. While the way there is cut nothing is opened at the other end.
+func (r *Relay) carry(near net.Conn, all *sync.WaitGroup) {
+	if !r.keep(near) {
+		return
+	}
+	defer r.drop(near)
+	if !r.pass(There) {
+		return
+	}
+	far, err := net.DialTimeout("tcp", r.to, time.Second)
+	if err != nil {
+		near.(*net.TCPConn).SetLinger(0)
+		return
+	}
+	if !r.keep(far) {
+		return
+	}
+	defer r.drop(far)
+	var both sync.WaitGroup
+	both.Go(func() { r.pump(far, near, There) })
+	both.Go(func() { r.pump(near, far, Back) })
+	both.Wait()
+}
+
+func (r *Relay) keep(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.over {
+		c.Close()
+		return false
+	}
+	r.conns[c] = true
+	return true
+}
+
+func (r *Relay) drop(c net.Conn) {
+	c.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, c)
+}
+
+// pass waits until the way is open; false: the rig has ended.
+func (r *Relay) pass(d Direction) bool {
+	r.mu.Lock()
+	delay := r.ways[d].delay
+	r.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay) // the link's own time, not a wait for something to happen
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.ways[d].cut && !r.over {
+		r.moved.Wait()
+	}
+	return !r.over
+}
+
+func (r *Relay) pump(to, from net.Conn, d Direction) {
+	defer func() { // each end hears of the other's
+		to.(*net.TCPConn).CloseWrite()
+	}()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			if !r.pass(d) {
+				return
+			}
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// Cut holds all that goes that way until Heal.
+func (r *Relay) Cut(d Direction) {
+	if r != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.ways[d].cut = true
+	}
+}
+
+// Heal opens both ways; what was held arrives now, late.
+func (r *Relay) Heal() {
+	if r != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.ways[There].cut, r.ways[Back].cut = false, false
+		r.moved.Broadcast()
+	}
+}
+
+// Delay has each piece wait that goes that way.
+func (r *Relay) Delay(d Direction, by time.Duration) {
+	if r != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.ways[d].delay = by
+	}
+}
+
+// Reset ends all connections at once, as a machine does that has lost their state.
+func (r *Relay) Reset() {
+	if r != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for c := range r.conns {
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/rig.go
@@ -0,0 +1,443 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package rig is for tests: it starts several real processes of the program with stand-ins for executors, discovery and
+// clients on loopback, puts a relay between each pair of them, plays faults between and on them, and counts on one clock
+// what arrives at the stand-ins. It knows nothing of what goes on inside a process.
+package rig
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Rig is one fleet of processes and all round it.
+type Rig struct {
+	testing.TB
+	Executors []*Executor
+	Nodes     []*Node
+	plan      Plan
+	start     time.Time
+	list      net.Listener
+	client    *http.Client
+}
+
+// Plan is what a fleet is like.
+type Plan struct {
+	Program   []string       // the program and its arguments
+	Env       []string       // for each process, beside the rig's own
+	Nodes     int            // that may be started
+	Seats     int            // of these, the first
+	Executors int            // stand-ins
+	Settings  map[string]any // of the platform, as in a node's file
+	Fleet     map[string]any // the fleet section, but for listen, seats and dir; nil: none
+	Disk      bool           // seats have a directory
+	Reply     time.Duration  // of an executor
+	Started   time.Time      // of the executors, as discovery tells it; zero: long ago
+}
+
+// New makes the stand-ins. Nothing is started yet. All of it ends with the test.
+func New(t testing.TB, plan Plan) *Rig {
+	r := &Rig{TB: t, plan: plan, start: time.Now(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	t.Cleanup(r.client.CloseIdleConnections)
+	for i := range plan.Executors {
+		r.Executors = append(r.Executors, newExecutor(r, fmt.Sprint("e", i)))
+	}
+	r.list = r.listen()
+	discovery := &http.Server{Handler: http.HandlerFunc(r.discover)}
+	go discovery.Serve(r.list)
+	t.Cleanup(func() { discovery.Close() })
+	for i := range plan.Nodes {
+		r.Nodes = append(r.Nodes, r.node(i))
+	}
+	for i, n := range r.Nodes {
+		for j := range plan.Seats {
+			if j != i {
+				n.relays = append(n.relays, newRelay(t, r.Nodes[j].door))
+			} else {
+				n.relays = append(n.relays, nil)
+			}
+		}
+	}
+	return r
+}
+
+// Now is the rig's one clock: nanoseconds since it was made.
+func (r *Rig) Now() int64 { return int64(time.Since(r.start)) }
+
+func (r *Rig) listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		r.Fatal(err)
+	}
+	return l
+}
+
+// free is an address that nobody listens at. Danger: another program may take it before it is used; it is taken from the
+// kernel's own range for such, which gives each out in turn, so that this has not been seen.
+func (r *Rig) free() string {
+	l := r.listen()
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Executor is a stand-in that does what it is told at once and notes all that arrives.
+type Executor struct {
+	Name    string
+	address string
+	rig     *Rig
+
+	mu       sync.Mutex
+	Accepted []int64 // when connections were accepted
+	Jobs     []Job
+}
+
+// Job is one posting as it arrived.
+type Job struct {
+	At     int64
+	ID     string
+	Repeat bool // the id was here or at another executor before
+	Work   int64
+}
+
+func newExecutor(r *Rig, name string) *Executor {
+	l := r.listen()
+	e := &Executor{Name: name, address: l.Addr().String(), rig: r}
+	s := &http.Server{Handler: e}
+	go s.Serve(&noted{l, e})
+	r.Cleanup(func() { s.Close() })
+	return e
+}
+
+type noted struct {
+	net.Listener
+	e *Executor
+}
+
+func (n *noted) Accept() (net.Conn, error) {
+	c, err := n.Listener.Accept()
+	if err == nil {
+		n.e.mu.Lock()
+		n.e.Accepted = append(n.e.Accepted, n.e.rig.Now())
+		n.e.mu.Unlock()
+	}
+	return c, err
+}
+
+// ServeHTTP does a job. A request that asks for it in its target fails or is turned away.
+func (e *Executor) ServeHTTP(out http.ResponseWriter, q *http.Request) {
+	at, id := e.rig.Now(), q.Header.Get("X-Call-Id")
+	if _, err := io.ReadAll(q.Body); err != nil {
+		return
+	}
+	e.mu.Lock()
+	e.Jobs = append(e.Jobs, Job{At: at, ID: id})
+	e.mu.Unlock()
+	if q.URL.Query().Get("full") != "" {
+		out.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	if q.URL.Query().Get("close") != "" {
+		out.Header().Set("Connection", "close")
+	}
+	time.Sleep(e.rig.plan.Reply)
+	fmt.Fprintf(out, `{"id":%q,"from":%q,"state":"done","result":"r"}`+"\n", id, e.Name)
+}
+
+// Noted gives what has arrived so far.
+func (e *Executor) Noted() (accepted []int64, jobs []Job) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]int64(nil), e.Accepted...), append([]Job(nil), e.Jobs...)
+}
+
+// Most is the most of these moments that lie within any window of that length.
+func Most(at []int64, window time.Duration) (most int) {
+	for from, to := 0, 0; to < len(at); to++ {
+		for at[to]-at[from] >= int64(window) {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
+
+func (r *Rig) known() map[string]any {
+	var servers []map[string]any
+	started := int64(0)
+	if !r.plan.Started.IsZero() {
+		started = r.plan.Started.UnixMilli()
+	}
+	for _, e := range r.Executors {
+		servers = append(servers, map[string]any{"id": e.Name, "addr": e.address, "zone": "a", "kind": "m", "state": "Ready", "weight": 1, "started_ms": started})
+	}
+	return map[string]any{"version": 1, "full": true, "servers": servers}
+}
+
+func (r *Rig) discover(out http.ResponseWriter, q *http.Request) {
+	if q.URL.Query().Get("since") == "1" {
+		wait, _ := time.ParseDuration(q.URL.Query().Get("timeout_ms") + "ms")
+		select {
+		case <-time.After(wait):
+		case <-q.Context().Done():
+		}
+		json.NewEncoder(out).Encode(map[string]any{"version": 1, "full": false, "servers": []any{}})
+		return
+	}
+	json.NewEncoder(out).Encode(r.known())
+}
+
+// Node is one node's place: its addresses stay when its process is started anew.
+type Node struct {
+	rig                 *Rig
+	Index               int
+	Name, Listen, Admin string
+	door                string // of its seat
+	dir                 string
+	relays              []*Relay // to the seats; nil: itself
+	Env                 []string // for its next start
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+	out     *os.File
+	logs    string
+}
+
+func (r *Rig) node(i int) *Node {
+	n := &Node{rig: r, Index: i, Name: fmt.Sprint("n", i), Listen: r.free(), Admin: r.free(), dir: r.TempDir()}
+	if i < r.plan.Seats {
+		n.door = r.free()
+	}
+	r.Cleanup(n.Kill)
+	return n
+}
+
+// configuration is the node's file. Each node calls the seats through relays of its own.
+func (n *Node) configuration() []byte {
+	file := map[string]any{"name": n.Name, "listen": n.Listen, "admin_addr": n.Admin, "discovery": n.rig.list.Addr().String(),
+		"seed": fmt.Sprint(n.Index + 1), "limits": map[string]any{"sockets": 400}, "known": n.rig.known(), "settings": n.rig.plan.Settings}
+	if n.rig.plan.Fleet != nil {
+		section := map[string]any{}
+		for key, value := range n.rig.plan.Fleet {
+			section[key] = value
+		}
+		var seats []map[string]any
+		for i := range n.rig.plan.Seats {
+			address := n.door
+			if i != n.Index {
+				address = n.relays[i].Address
+			}
+			seats = append(seats, map[string]any{"name": n.rig.Nodes[i].Name, "address": address})
+		}
+		if section["seats"] = seats; n.door != "" {
+			section["listen"] = n.door
+			if n.rig.plan.Disk {
+				section["dir"] = filepath.Join(n.dir, "seat")
+			}
+		}
+		file["fleet"] = section
+	}
+	text, err := json.MarshalIndent(file, "", " ")
+	if err != nil {
+		n.rig.Fatal(err)
+	}
+	return text
+}
+
+// Start starts the node's process. It does not wait until it serves.
+func (n *Node) Start() {
+	n.rig.Helper()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	path := filepath.Join(n.dir, "config.json")
+	if err := os.WriteFile(path, n.configuration(), 0o600); err != nil {
+		n.rig.Fatal(err)
+	}
+	n.logs = filepath.Join(n.dir, "log")
+	out, err := os.OpenFile(n.logs, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		n.rig.Fatal(err)
+	}
+	p := exec.Command(n.rig.plan.Program[0], n.rig.plan.Program[1:]...)
+	p.Env = append(append(append(os.Environ(), n.rig.plan.Env...), n.Env...), "EDGE_CONFIG="+path, "EDGE_LOG=info", "TMPDIR="+n.dir)
+	p.Stdout, p.Stderr = out, out
+	if err := p.Start(); err != nil {
+		n.rig.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		p.Wait()
+		out.Close()
+		close(ended)
+	}()
+	n.process, n.ended, n.out = p, ended, out
+}
+
+// Signal sends one to the process, if there is one.
+func (n *Node) Signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != nil {
+		n.process.Process.Signal(s)
+	}
+}
+
+// Kill ends the process at once, stopped or not, and waits for its end.
+func (n *Node) Kill() { n.end(syscall.SIGKILL) }
+
+// End tells the process to end, and waits for it.
+func (n *Node) End() { n.end(syscall.SIGTERM) }
+
+func (n *Node) end(by syscall.Signal) {
+	n.mu.Lock()
+	p, ended := n.process, n.ended
+	n.process = nil
+	n.mu.Unlock()
+	if p == nil {
+		return
+	}
+	p.Process.Signal(by)
+	select {
+	case <-ended:
+	case <-time.After(8 * time.Second):
+		p.Process.Kill()
+		<-ended
+		n.rig.Errorf("%s did not end", n.Name)
+	}
+}
+
+// Forget loses what the node has on disk. Its process must have ended.
+func (n *Node) Forget() {
+	if err := os.RemoveAll(filepath.Join(n.dir, "seat")); err != nil {
+		n.rig.Error(err)
+	}
+}
+
+// Running says whether the node has a process that has not ended.
+func (n *Node) Running() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process == nil {
+		return false
+	}
+	select {
+	case <-n.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// Log is what the node's processes have told.
+func (n *Node) Log() string {
+	text, _ := os.ReadFile(filepath.Join(n.dir, "log"))
+	return string(text)
+}
+
+// Call makes an operators' call; empty: it was not answered.
+func (n *Node) Call(line string) string {
+	c, err := net.DialTimeout("tcp", n.Admin, time.Second)
+	if err != nil {
+		return ""
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(2 * time.Second))
+	io.WriteString(c, line+"\n")
+	answer, _ := io.ReadAll(c)
+	return string(answer)
+}
+
+// Ask makes an operators' call that is answered in JSON.
+func (n *Node) Ask(line string, out any) error {
+	text, whole := strings.CutSuffix(n.Call(line), "END\n")
+	if !whole {
+		return errors.New("no answer: " + text)
+	}
+	return json.Unmarshal([]byte(text), out)
+}
+
+// Until waits for something that the rig can see, looking many times a second.
+func (r *Rig) Until(what string, within time.Duration, is func() bool) time.Duration {
+	r.Helper()
+	began := time.Now()
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for !is() {
+		if <-tick.C; time.Since(began) > within {
+			for _, n := range r.Nodes {
+				log := n.Log()
+				r.Logf("%s, the end of its log:\n%s", n.Name, log[max(len(log)-1500, 0):])
+			}
+			r.Fatalf("not within %v: %s", within, what)
+		}
+	}
+	return time.Since(began)
+}
+
+// Ready waits until the node takes clients.
+func (n *Node) Ready() {
+	n.rig.Helper()
+	n.rig.Until(n.Name+" serves", 20*time.Second, func() bool { return strings.HasPrefix(n.Call("readyz"), "OK") })
+}
+
+// Send sends one job to the node, and gives the status of its answer; 0: there was none.
+func (n *Node) Send(id, target string, budget time.Duration) int {
+	q, err := http.NewRequest("POST", "http://"+n.Listen+target, io.NopCloser(strings.NewReader("b")))
+	if err != nil {
+		n.rig.Error(err)
+		return 0
+	}
+	q.ContentLength = 1
+	scheme, _, _ := strings.Cut(strings.TrimPrefix(target, "/"), "?")
+	q.Header = http.Header{"X-Call-Id": {id}, "X-Call-Class": {scheme}, "X-Budget-Ms": {fmt.Sprint(budget.Milliseconds())}}
+	answer, err := n.rig.client.Do(q)
+	if err != nil {
+		return 0
+	}
+	defer answer.Body.Close()
+	io.Copy(io.Discard, answer.Body)
+	return answer.StatusCode
+}
+
+// Load has so many clients send jobs to the node, one after another with a pause, until the end of it.
+func (n *Node) Load(name, target string, clients int, pause, budget time.Duration) (end func() (statuses map[int]int)) {
+	stop, all, statuses := make(chan struct{}), sync.WaitGroup{}, map[int]int{}
+	var mu sync.Mutex
+	for c := range clients {
+		all.Go(func() {
+			tick := time.NewTicker(pause)
+			defer tick.Stop()
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-tick.C:
+				}
+				status := n.Send(fmt.Sprintf("%s-%s-%d-%d", name, n.Name, c, i), target, budget)
+				mu.Lock()
+				statuses[status]++
+				mu.Unlock()
+			}
+		})
+	}
+	return func() map[int]int {
+		close(stop)
+		all.Wait()
+		return statuses
+	}
+}
+
+// Relay gives the relay by which the node calls a seat.
+func (n *Node) Relay(seat int) *Relay { return n.relays[seat] }
--- a/internal/routing/life.go
+++ b/internal/routing/life.go
@@ -106,27 +106,17 @@
 }
 
 // carry takes one posting to its executor and tells the module of its one outcome.
-func (n *Node) carry(ctx context.Context, withdraw context.CancelFunc, p *dispatch.Posting, job *protocol.Job) {
+func (n *Node) carry(ctx context.Context, withdraw context.CancelFunc, p *dispatch.Posting, job *protocol.Job, charge Charge) {
 	sent := n.clock()
 	defer withdraw()
 	began := int64(0) // when it told of its start
 	ended := func(e protocol.End) {
 		n.log.Trace().Str("id", p.Txn.Tag).Int("number", p.Number).Str("executor", p.Executor.Tag).Stringer("outcome", e.Outcome).
 			Int64("sent_us", sent/1e3).Int64("began_us", began/1e3).Int64("ended_us", n.clock()/1e3).Msg("posting")
-		n.event(func() {
-			if n.out[p] == nil {
-				return
-			}
-			delete(n.out, p)
-			if e.Outcome == dispatch.Settled {
-				n.answer(p.Txn, &protocol.Answer{Status: http.StatusOK, Body: e.Result})
-			}
-			p.Free = e.Free
-			n.module.Ended(p, e.Outcome, n.clock()-sent, n.lives[p.Txn] == nil)
-		})
-		if e.Cause != nil && e.Outcome != dispatch.Revoked {
-			n.log.Debug().Err(e.Cause).Str("executor", p.Executor.Tag).Stringer("outcome", e.Outcome).Msg("posting ended")
+		if charge != nil {
+			charge.Void()
 		}
+		n.ended(p, e, sent)
 	}
 	// Danger: a fault in one posting's goroutine takes the node down; it may have run by then.
 	if err := n.guard(func() {
@@ -144,3 +134,21 @@
 		ended(protocol.End{Outcome: dispatch.Broken, Cause: err})
 	}
 }
+
+// ended tells the module of a posting's one outcome.
+func (n *Node) ended(p *dispatch.Posting, e protocol.End, sent int64) {
+	n.event(func() {
+		if n.out[p] == nil {
+			return
+		}
+		delete(n.out, p)
+		if e.Outcome == dispatch.Settled {
+			n.answer(p.Txn, &protocol.Answer{Status: http.StatusOK, Body: e.Result})
+		}
+		p.Free = e.Free
+		n.module.Ended(p, e.Outcome, n.clock()-sent, n.lives[p.Txn] == nil)
+	})
+	if e.Cause != nil && e.Outcome != dispatch.Revoked {
+		n.log.Debug().Err(e.Cause).Str("executor", p.Executor.Tag).Stringer("outcome", e.Outcome).Msg("posting ended")
+	}
+}
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -30,6 +30,20 @@
 	Ask(ctx context.Context, since int64, whole bool) (*protocol.List, error)
 }
 
+// Purse is this node's share of what all nodes hold together. It is asked under the module's lock and never calls back.
+type Purse interface {
+	// May says whether so many units more may be used now; key is an executor's address for connections, its name for the rest.
+	May(b dispatch.Budget, key string, units float64) bool
+	// Charge reserves what a posting takes; nil: there is none left, and it may not go out.
+	Charge(executor string, again bool, cold float64) Charge
+}
+
+// Charge is what one posting takes. Void gives it back if it never left.
+type Charge interface {
+	protocol.Admission
+	Void()
+}
+
 // Node is the module with all that it acts through. It is the module's Door.
 type Node struct {
 	terms   *dispatch.Terms
@@ -42,6 +56,7 @@
 	turn    chan Lister     // the latest new place to ask, at most one
 	log     zerolog.Logger
 	start   time.Time
+	purse   Purse // nil: nodes share nothing
 
 	mu      sync.Mutex // round the module and all below; never held over a write, a dial or a log line
 	module  *dispatch.Dispatcher
@@ -66,11 +81,16 @@
 	address  string
 }
 
-// New starts the module on the list as it was last known.
-func New(terms *dispatch.Terms, seed uint64, known *protocol.List, c Carrier, probe time.Duration, l Lister, log zerolog.Logger) *Node {
+// New starts the module on the list as it was last known. purse is nil where nodes share nothing.
+func New(terms *dispatch.Terms, seed uint64, known *protocol.List, c Carrier, probe time.Duration, l Lister, purse Purse, log zerolog.Logger) *Node {
 	n := &Node{terms: terms, carrier: c, probe: probe, lister: l, known: known, log: log, start: time.Now(), till: math.MaxInt64, members: map[string]*member{}, listedOnce: map[string]bool{},
 		news: make(chan struct{}), ids: [2]map[string]bool{{}, {}}, lives: map[*dispatch.Txn]*life{}, out: map[*dispatch.Posting]context.CancelFunc{}, watch: make(chan bool, 1), turn: make(chan Lister, 1)}
 	n.heard = n.news
+	if n.purse = purse; purse != nil {
+		own := *terms
+		own.Shares, terms = n, &own
+		n.terms = terms
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.module = dispatch.New(terms, seed, n, n.clock())
@@ -170,7 +190,25 @@
 	if m := n.members[p.Executor.Tag]; m != nil {
 		job.Address = m.address
 	}
-	go n.carry(ctx, withdraw, p, job)
+	var charge Charge
+	if n.purse != nil {
+		if charge = n.purse.Charge(p.Executor.Tag, p.Number > 0, p.Part); charge == nil {
+			defer withdraw()
+			go n.ended(p, protocol.End{Outcome: dispatch.Unsent}, n.clock())
+			return
+		}
+		job.Admit = charge
+	}
+	go n.carry(ctx, withdraw, p, job, charge)
+}
+
+// May implements dispatch.Shares, under the lock as well.
+func (n *Node) May(b dispatch.Budget, e *dispatch.Executor, units float64) bool {
+	key := e.Tag
+	if m := n.members[e.Tag]; b == dispatch.Connect && m != nil {
+		key = m.address
+	}
+	return n.purse.May(b, key, units)
 }
 
 func (n *Node) Withdraw(p *dispatch.Posting) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -123,7 +123,7 @@
 func TestIdIsTakenOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &carrier{script: serves(15 * time.Second)}
-		n := New(terms(), 1, known("a", "b"), c, time.Second, &lister{}, zerolog.Nop())
+		n := New(terms(), 1, known("a", "b"), c, time.Second, &lister{}, nil, zerolog.Nop())
 		first := make(chan *protocol.Answer, 1)
 		go func() { first <- n.Serve(t.Context(), ask("j", 1, time.Minute)) }()
 		for at, want := range []int{409, 409, 409, 409, 409, 409, 200} {
@@ -143,7 +143,7 @@
 func TestLife(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &carrier{script: serves(50 * time.Millisecond)}
-		n := New(terms(), 1, known("a", "b"), c, time.Second, &lister{}, zerolog.Nop())
+		n := New(terms(), 1, known("a", "b"), c, time.Second, &lister{}, nil, zerolog.Nop())
 		if a := n.Serve(t.Context(), ask("j", 0, time.Second)); a == nil || a.Status != 200 || a.Body != "r" {
 			t.Fatalf("%+v", a)
 		}
@@ -162,7 +162,7 @@
 func TestUnanswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &carrier{script: serves(time.Hour)}
-		n := New(terms(), 1, known("a", "b"), c, time.Second, &lister{}, zerolog.Nop())
+		n := New(terms(), 1, known("a", "b"), c, time.Second, &lister{}, nil, zerolog.Nop())
 		for scheme, status := range []int{503, 500} {
 			start := time.Now()
 			a := n.Serve(t.Context(), ask(fmt.Sprint(scheme), scheme, time.Second))
@@ -180,7 +180,7 @@
 func TestClientLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &carrier{script: serves(time.Hour)}
-		n := New(terms(), 1, known("a"), c, time.Second, &lister{}, zerolog.Nop())
+		n := New(terms(), 1, known("a"), c, time.Second, &lister{}, nil, zerolog.Nop())
 		ctx, leave := context.WithCancel(t.Context())
 		time.AfterFunc(100*time.Millisecond, leave)
 		if a := n.Serve(ctx, ask("j", 0, 5*time.Second)); a != nil {
@@ -196,7 +196,7 @@
 // TestEnd: a node that is told to end answers all that it has, and what still comes, within the time it is given.
 func TestEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := New(terms(), 1, known("a", "b", "c"), &carrier{script: serves(time.Hour)}, time.Second, &lister{}, zerolog.Nop())
+		n := New(terms(), 1, known("a", "b", "c"), &carrier{script: serves(time.Hour)}, time.Second, &lister{}, nil, zerolog.Nop())
 		start, done := time.Now(), make(chan *protocol.Answer, 2)
 		go func() { done <- n.Serve(t.Context(), ask("j", 1, time.Minute)) }()
 		time.Sleep(100 * time.Millisecond)
@@ -214,7 +214,7 @@
 func TestPanicEndsOneStep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var log bytes.Buffer
-		n := New(terms(), 1, known("a"), &carrier{script: serves(time.Millisecond)}, time.Second, &lister{}, zerolog.New(&log))
+		n := New(terms(), 1, known("a"), &carrier{script: serves(time.Millisecond)}, time.Second, &lister{}, nil, zerolog.New(&log))
 		broken := *n.terms
 		broken.Schemes = []*dispatch.Scheme{nil}
 		whole := n.terms
@@ -238,7 +238,7 @@
 		c := &carrier{script: func(context.Context, int, *protocol.Job, func(protocol.Line)) (dispatch.Outcome, string) {
 			panic("odd")
 		}}
-		n := New(terms(), 1, known("a"), c, time.Second, &lister{}, zerolog.Nop())
+		n := New(terms(), 1, known("a"), c, time.Second, &lister{}, nil, zerolog.Nop())
 		start := time.Now()
 		a := n.Serve(t.Context(), ask("j", 1, time.Second))
 		if took := time.Since(start); a == nil || a.Status != 500 || c.sent() != 1 || took > 100*time.Millisecond {
@@ -258,7 +258,7 @@
 			&protocol.List{Version: 3, Entries: []protocol.Entry{entry("a", dispatch.Up)}},
 			&protocol.List{Version: 2, Full: true, Entries: []protocol.Entry{moved}},
 		}}
-		n := New(terms(), 1, known("old"), c, time.Second, l, zerolog.Nop())
+		n := New(terms(), 1, known("old"), c, time.Second, l, nil, zerolog.Nop())
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		go n.Follow(ctx)
@@ -297,7 +297,7 @@
 	}{{&protocol.List{Version: 41, Full: true, Entries: known("a").Entries}, "41 false"}, {&protocol.List{}, "0 true"}} {
 		synctest.Test(t, func(t *testing.T) {
 			l := &lister{}
-			n := New(terms(), 1, c.known, &carrier{}, time.Second, l, zerolog.Nop())
+			n := New(terms(), 1, c.known, &carrier{}, time.Second, l, nil, zerolog.Nop())
 			ctx, stop := context.WithCancel(t.Context())
 			go n.Follow(ctx)
 			time.Sleep(2 * time.Second)
@@ -317,7 +317,7 @@
 		for range 50 {
 			l.answers = append(l.answers, &protocol.List{})
 		}
-		n := New(terms(), 1, &protocol.List{}, &carrier{}, time.Second, l, zerolog.Nop())
+		n := New(terms(), 1, &protocol.List{}, &carrier{}, time.Second, l, nil, zerolog.Nop())
 		ctx, stop := context.WithCancel(t.Context())
 		go n.Follow(ctx)
 		time.Sleep(time.Second + time.Millisecond)
@@ -336,7 +336,7 @@
 		old := &lister{answers: []any{&protocol.List{Version: 50, Full: true, Entries: known("a", "b").Entries}}}
 		down := &lister{answers: []any{errors.New("refused")}}
 		fresh := &lister{answers: []any{&protocol.List{Version: 3, Full: true, Entries: known("b", "c").Entries}}}
-		n := New(terms(), 1, known("a"), &carrier{script: serves(time.Millisecond)}, time.Second, old, zerolog.Nop())
+		n := New(terms(), 1, known("a"), &carrier{script: serves(time.Millisecond)}, time.Second, old, nil, zerolog.Nop())
 		ctx, stop := context.WithCancel(t.Context())
 		go n.Follow(ctx)
 		time.Sleep(2 * time.Second)
@@ -407,7 +407,7 @@
 			}
 		}
 	}
-	n := New(terms(), r.Uint64(), known(ids...), c, time.Second, &lister{}, zerolog.Nop())
+	n := New(terms(), r.Uint64(), known(ids...), c, time.Second, &lister{}, nil, zerolog.Nop())
 	var lives sync.WaitGroup
 	for i := range 60 {
 		time.Sleep(time.Duration(dice(100)) * time.Millisecond)
@@ -477,7 +477,7 @@
 func TestBan(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &carrier{script: serves(50 * time.Millisecond)}
-		n := New(terms(), 1, known("a", "b"), c, time.Second, &lister{}, zerolog.Nop())
+		n := New(terms(), 1, known("a", "b"), c, time.Second, &lister{}, nil, zerolog.Nop())
 		asked := 0
 		to := func(address string) (count int) {
 			c.jobs = nil
@@ -541,7 +541,7 @@
 			<-ctx.Done()
 			return protocol.Load{}, ctx.Err()
 		}}
-		n := New(asking, 1, known("a", "b", "c"), c, 300*time.Millisecond, &lister{}, zerolog.Nop())
+		n := New(asking, 1, known("a", "b", "c"), c, 300*time.Millisecond, &lister{}, nil, zerolog.Nop())
 		a := n.Serve(t.Context(), ask("j", 0, 5*time.Second))
 		synctest.Wait()
 		c.mu.Lock()
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"fernrail/internal/protocol"
 )
 
 // reserve is kept for what has no place in the budget: standard files, the poller, the listener, discovery, files of the
@@ -53,16 +55,17 @@
 	held      [2]int
 	strange   int // strangers at most, but for young ones
 	young     time.Duration
-	spare     int          // of the clients' places, kept for those that can only be turned away
-	idle      [2]list.List // of *conn
-	strangers list.List    // of *conn, with those whose last answer is given
-	yielding  int          // clients' connections told to give way and not closed yet
-	working   int          // clients' connections with a request on them
+	spare     int            // of the clients' places, kept for those that can only be turned away
+	idle      [2]list.List   // of *conn
+	kept      map[string]int // of the idle ones to executors, by address
+	strangers list.List      // of *conn, with those whose last answer is given
+	yielding  int            // clients' connections told to give way and not closed yet
+	working   int            // clients' connections with a request on them
 	stopping  bool
 }
 
 func NewDescriptors(sockets int) *Descriptors {
-	d := &Descriptors{young: young}
+	d := &Descriptors{young: young, kept: map[string]int{}}
 	d.changed.L = &d.mu
 	d.Resize(sockets)
 	return d
@@ -299,12 +302,20 @@
 	return nil
 }
 
+// Idle counts the connections to an executor that could be used at once.
+func (d *Descriptors) Idle(address string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.kept[address]
+}
+
 // conn is a connection with its place in the budget. For those to executors it also keeps what proves that a
 // request was never sent whole.
 type conn struct {
 	net.Conn
 	owner   *Descriptors
 	of      side
+	address string // of the executor
 	came    time.Time
 	spare   bool // a client's that can only be turned away
 	working bool // under owner.mu, as are those up to yielded
@@ -320,12 +331,22 @@
 	writing sync.Mutex
 	begun   bool // a write since the request was given this connection
 	cut     bool // a write did not take all its bytes
+	held    bool // a write was not made: the share that it needed was gone
+	admit   protocol.Admission
 }
 
 // put moves the connection to the end of a list, or out of all. Under owner.mu.
 func (c *conn) put(to *list.List) {
 	if c.in != nil {
 		c.in.Remove(c.at)
+		if c.of == executors {
+			if c.owner.kept[c.address]--; c.owner.kept[c.address] == 0 {
+				delete(c.owner.kept, c.address)
+			}
+		}
+	}
+	if to != nil && c.of == executors {
+		c.owner.kept[c.address]++
 	}
 	if c.in, c.at = to, nil; to != nil {
 		c.at = to.PushBack(c)
@@ -415,6 +436,13 @@
 func (c *conn) Write(b []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
+	// Danger: a process that was stopped since it decided, and sends on a lease that ran out meanwhile.
+	if admit := c.admit; admit != nil && !c.begun {
+		if c.held = !admit.Send(); c.held {
+			return 0, errHeld
+		}
+		defer admit.Sent()
+	}
 	c.begun = true
 	n, err := c.Conn.Write(b)
 	c.cut = c.cut || n < len(b)
@@ -422,9 +450,9 @@
 }
 
 // start opens the account of a new request.
-func (c *conn) start() {
+func (c *conn) start(admit protocol.Admission) {
 	c.writing.Lock()
-	c.begun, c.cut = false, false
+	c.begun, c.cut, c.held, c.admit = false, false, false, admit
 	c.writing.Unlock()
 }
 
--- a/internal/transport/executors.go
+++ b/internal/transport/executors.go
@@ -18,6 +18,9 @@
 // tail is how long the end of an answer is waited for once its last line is in, to keep the connection.
 const tail = time.Second
 
+// errHeld says that a connection was not tried, or a request not written, since this node's share allows no more now.
+var errHeld = errors.New("held back: the share of it is used up")
+
 // errShort says that a connection was not tried, for want of a descriptor.
 var errShort = errors.New("no descriptor left")
 
@@ -26,23 +29,30 @@
 	transport *http.Transport
 	values    protocol.Values // of load reports
 	wrote     func()          // told of each posting whose last byte was written
+	dials     func(address string) bool
 }
 
 // NewExecutors: dial is how long a connection may take to come up, idle how long executors keep an unused one, values
 // what their load reports tell by which name, wrote is told of each posting whose last byte was written.
 func NewExecutors(d *Descriptors, dial, idle time.Duration, values protocol.Values, wrote func()) *Executors {
 	dialer := &net.Dialer{Timeout: dial, KeepAlive: -1}
-	return &Executors{values: values, wrote: wrote, transport: &http.Transport{
+	x := &Executors{values: values, wrote: wrote, dials: func(string) bool { return true }}
+	x.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if !d.take(executors) {
 				return nil, errShort
 			}
+			// Danger: connections that all nodes open together, at an executor that has just come back.
+			if !x.dials(address) {
+				d.give(executors)
+				return nil, errHeld
+			}
 			c, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				d.give(executors)
 				return nil, err
 			}
-			fresh := &conn{Conn: c, owner: d, of: executors}
+			fresh := &conn{Conn: c, owner: d, of: executors, address: address}
 			d.rest(fresh, 0) // its request may have found another meanwhile
 			return fresh, nil
 		},
@@ -53,13 +63,18 @@
 		MaxResponseHeaderBytes: 16 << 10,
 		WriteBufferSize:        8 << 10, // most requests go out in one write; a fleet of connections stays small
 		ReadBufferSize:         4096,
-	}}
+	}
+	return x
 }
 
+// Dials has each new connection to an executor asked for first, at the moment at which it would be opened.
+func (x *Executors) Dials(may func(address string) bool) { x.dials = may }
+
 // hold is the connection that one request has, and how often it has been used.
 type hold struct {
-	conn *conn
-	use  int
+	conn  *conn
+	use   int
+	admit protocol.Admission // nil: it needs none
 }
 
 func (h *hold) trace() *httptrace.ClientTrace {
@@ -67,7 +82,7 @@
 		GotConn: func(i httptrace.GotConnInfo) {
 			h.conn = i.Conn.(*conn)
 			h.use = h.conn.owner.busy(h.conn)
-			h.conn.start()
+			h.conn.start(h.admit)
 		},
 		PutIdleConn: func(err error) {
 			if err == nil {
@@ -83,7 +98,7 @@
 	ended func(protocol.End)) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var h hold
+	h := hold{admit: job.Admit}
 	trace := h.trace()
 	trace.WroteRequest = func(i httptrace.WroteRequestInfo) {
 		if i.Err == nil {
@@ -184,7 +199,7 @@
 // Danger: kept connections that executors, or what stands between, close early are taken for executors in trouble.
 func failed(ctx context.Context, used *conn, kept bool, err error) dispatch.Outcome {
 	switch {
-	case used == nil && errors.Is(err, errShort):
+	case used == nil && (errors.Is(err, errShort) || errors.Is(err, errHeld)):
 		return dispatch.Unsent
 	case givenUp(ctx) != dispatch.Settled:
 		return givenUp(ctx)
@@ -194,7 +209,7 @@
 	}
 	never, yielded := used.unsent()
 	switch {
-	case never && (yielded || kept):
+	case never && (yielded || kept || used.held):
 		return dispatch.Unsent
 	case never:
 		return dispatch.Undialed
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -217,7 +217,7 @@
 	} {
 		near, far := net.Pipe()
 		u := &conn{Conn: near, owner: NewDescriptors(64), of: executors}
-		u.start()
+		u.start(nil)
 		c.use(u, far)
 		if never, _ := u.unsent(); never != c.want {
 			t.Errorf("%s: %v", name, never)
