Upgrades of nodes with a fleet: floors and seat pass from one process to the next

Cause: a second process of a node would find the seat's address taken and end, and each of the two would have counted the node's floors as its own (Holder.Units knew one process a node).

Change: floors are those of the process that holds the node's part of cold budgets (handover), and count from a window on where they are taken over; the seat's door is waited for while another process of the node has it, and left at the hand-over. The rig gives each node an inherited socket and can upgrade it.

--- a/cmd/fernrail/desk.go
+++ b/cmd/fernrail/desk.go
@@ -54,11 +54,19 @@
 		d.log.Warn().Err(err).Str("key", "TMPDIR").Msg("nothing is shared with other processes of this node")
 	}
 	if d.owner = d.seat.Own(); !d.owner {
-		d.node.Own(false)
+		d.own(false)
 	}
 	d.look()
 }
 
+// own tells whether what one process of a node may hold alone is this one's.
+func (d *desk) own(yes bool) {
+	d.node.Own(yes)
+	if d.share != nil {
+		d.share.Own(yes)
+	}
+}
+
 // keepUp looks at the other processes until the context ends, where any may be seen.
 func (d *desk) keepUp(ctx context.Context) {
 	if !d.seat.Shared() {
@@ -94,7 +102,7 @@
 	}
 	if !d.owner && !d.leaves && d.seat.Own() {
 		d.owner = true
-		d.node.Own(true)
+		d.own(true)
 	}
 	if fresh := d.node.Ever(d.noted); len(fresh) > 0 && d.seat.Note(fresh) == nil {
 		d.noted += len(fresh)
@@ -126,7 +134,7 @@
 	defer d.mu.Unlock()
 	d.seat.Serve(false)
 	if d.leaves = d.seat.Successor(); d.leaves {
-		d.node.Own(false)
+		d.own(false)
 		d.seat.Disown()
 	}
 	return d.leaves
--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -74,7 +74,7 @@
 		log.Warn().Str("key", "fleet").Msg("settings.Limits.MayTell does not let nodes talk: no budget is held together")
 	}
 	if c.Fleet != nil {
-		if share, err = fleet.Start(c.Name, c.Fleet, clock, log); err != nil {
+		if share, err = fleet.Start(c.Name, c.Fleet, c.Inherited != 0, clock, log); err != nil {
 			return err
 		}
 		defer share.Close()
@@ -131,6 +131,9 @@
 	case <-stopped.Done():
 	}
 	taken := desk.handOver()
+	if share != nil && taken {
+		share.Rise()
+	}
 	log.Info().Bool("successor", taken).Msg("node stops")
 	within := min(c.Longest, longestStop) + stopMargin
 	desk.node.End(within)
--- a/internal/fleet/budget/holder.go
+++ b/internal/fleet/budget/holder.go
@@ -8,7 +8,8 @@
 type Holder struct {
 	Node, Name string
 	pact       *Pact
-	born       int64
+	born       int64 // or since when the floors are this process's
+	bare       bool  // the floors are another process's
 	seq, epoch uint64
 	sent       int64            // the latest request
 	open       bool             // it has no answer yet
@@ -31,12 +32,21 @@
 // Danger: a process before this one may have used its node's floor a moment ago. So it counts from a window on.
 func (h *Holder) Units(budget string, now int64) int64 {
 	t, units := h.pact.Budgets[budget], int64(0)
-	if now-h.born >= h.pact.stretched(t.Window) {
+	if !h.bare && now-h.born >= h.pact.stretched(t.Window) {
 		units = t.Floor
 	}
 	return units + h.Leased(budget, now)
 }
 
+// Own says whether the node's floors are this process's, which they are from its start; taken over they count from a window on.
+// Danger: two processes of one node during an upgrade, each with all of its floors.
+func (h *Holder) Own(yes bool, now int64) {
+	if yes && h.bare {
+		h.born = now
+	}
+	h.bare = !yes
+}
+
 // Leased is the part of them beyond the floor.
 func (h *Holder) Leased(budget string, now int64) int64 {
 	if now >= h.until {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,8 +8,11 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"fmt"
+	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -38,12 +41,12 @@
 	clock Clock
 	log   zerolog.Logger
 	calls *calls
-	seat  *seat // nil: this node has none
 	kick  chan struct{}
-	done  chan struct{}
+	all   sync.WaitGroup
 	stop  context.CancelFunc
 
 	mu     sync.Mutex
+	seat   *seat // nil: this process has none, or has none yet
 	holder *budget.Holder
 	shares map[string]*share
 }
@@ -68,34 +71,94 @@
 // hurries is how many requests a node that needs more makes in a lease at most; one that needs no more makes three.
 const hurries = 15
 
-// Start begins to ask for leases, and takes the seat if the node has one. Close ends both.
-func Start(name string, plan *config.Fleet, clock Clock, log zerolog.Logger) (*Fleet, error) {
+// Start begins to ask for leases, and takes the seat if the node has one. beside says that other processes of the node may
+// live, one of which may have it. Close ends both.
+func Start(name string, plan *config.Fleet, beside bool, clock Clock, log zerolog.Logger) (*Fleet, error) {
 	ctx, stop := context.WithCancel(context.Background())
 	f := &Fleet{plan: plan, name: name, clock: clock, log: log.With().Str("part", "fleet").Logger(), kick: make(chan struct{}, 1),
-		done: make(chan struct{}), stop: stop, shares: map[string]*share{}}
+		stop: stop, shares: map[string]*share{}}
 	f.holder = budget.NewHolder(name, identity(), &plan.Pact, clock())
 	for b, t := range plan.Pact.Budgets {
 		f.shares[b] = &share{terms: t, meter: budget.NewMeter(&plan.Pact, b), whole: t.Whole}
 	}
 	f.calls = newCalls(plan)
 	if own := plan.Seat(name); own != nil {
-		var err error
-		if f.seat, err = takeSeat(ctx, name, plan, clock, f.calls, f.log); err != nil {
+		l, err := net.Listen("tcp", plan.Listen)
+		// Danger: another process of this node has the seat, as in an upgrade; this one takes it once that one has left.
+		if errors.Is(err, syscall.EADDRINUSE) && beside {
+			f.all.Go(func() { f.sitLater(ctx) })
+		} else if err != nil {
+			stop()
+			return nil, fmt.Errorf("fleet.listen: %w", err)
+		} else if err := f.sit(ctx, l); err != nil {
 			stop()
 			return nil, err
 		}
 	}
-	go f.keep(ctx)
+	f.all.Go(func() { f.keep(ctx) })
 	return f, nil
 }
 
-// Close gives the lease up and leaves the seat.
+// sit takes the node's seat.
+func (f *Fleet) sit(ctx context.Context, l net.Listener) error {
+	s, err := takeSeat(ctx, f.name, l, f.plan, f.clock, f.calls, f.log)
+	if err != nil {
+		l.Close()
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seat = s
+	return nil
+}
+
+// sitLater waits for the seat's door.
+func (f *Fleet) sitLater(ctx context.Context) {
+	tick := time.NewTicker(200 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		l, err := net.Listen("tcp", f.plan.Listen)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err == nil {
+			err = f.sit(ctx, l)
+		}
+		if err != nil {
+			f.log.Error().Err(err).Msg("the seat is not taken")
+		}
+		return
+	}
+}
+
+// Own says whether the node's floors are this process's, or another's.
+func (f *Fleet) Own(yes bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.holder.Own(yes, f.clock())
+}
+
+// Rise leaves the seat to another process of this node; leases go on.
+func (f *Fleet) Rise() {
+	f.mu.Lock()
+	s := f.seat
+	f.seat = nil
+	f.mu.Unlock()
+	if s != nil {
+		s.leave()
+	}
+}
+
+// Close ends all. The lease is not given back: the grants run out by themselves.
 func (f *Fleet) Close() {
 	f.stop()
-	<-f.done
-	if f.seat != nil {
-		f.seat.leave()
-	}
+	f.all.Wait()
+	f.Rise()
 }
 
 // identity is a name that no process before this one had.
@@ -107,7 +170,6 @@
 
 // keep asks for leases until the end.
 func (f *Fleet) keep(ctx context.Context) {
-	defer close(f.done)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	kicked, at, heard, hurry := false, 0, true, time.Duration(f.plan.Pact.Lease/hurries)
@@ -338,9 +400,10 @@
 	for name, s := range f.shares {
 		out.Budgets[name] = Standing{s.whole, s.terms.Floor, f.holder.Units(name, now), s.meter.Most(now), s.want, s.sent, s.lapsed, s.slipped}
 	}
+	seat := f.seat
 	f.mu.Unlock()
-	if f.seat != nil {
-		out.Seat = f.seat.read()
+	if seat != nil {
+		out.Seat = seat.read()
 	}
 	return out
 }
--- a/internal/fleet/seat.go
+++ b/internal/fleet/seat.go
@@ -75,8 +75,8 @@
 	done  chan error
 }
 
-// takeSeat opens the seat's memory and its door.
-func takeSeat(ctx context.Context, name string, plan *config.Fleet, clock Clock, c *calls, log zerolog.Logger) (*seat, error) {
+// takeSeat opens the seat's memory and its door, on a listener that the caller closes if this fails.
+func takeSeat(ctx context.Context, name string, l net.Listener, plan *config.Fleet, clock Clock, c *calls, log zerolog.Logger) (*seat, error) {
 	ctx, stop := context.WithCancel(ctx)
 	s := &seat{name: name, plan: plan, clock: clock, calls: c, log: log, books: &books{books: budget.NewBooks()}, clocks: map[string]float64{}, asks: make(chan *asked, waiting), orders: make(chan *order), stop: stop}
 	fail := func(err error) (*seat, error) {
@@ -90,10 +90,6 @@
 	if err != nil {
 		return fail(fmt.Errorf("fleet.dir: %w", err))
 	}
-	l, err := net.Listen("tcp", plan.Listen)
-	if err != nil {
-		return fail(fmt.Errorf("fleet.listen: %w", err))
-	}
 	s.wire = newWire(netutil.LimitListener(l, places), s.id, plan, c, log)
 	c0 := raft.DefaultConfig()
 	c0.LocalID = raft.ServerID(s.id)
@@ -103,7 +99,6 @@
 	c0.Logger = hclog.New(&hclog.LoggerOptions{Output: &logged{log, rate.NewLimiter(1, 5)}, Level: hclog.Warn, DisableTime: true})
 	transport := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: s.wire, MaxPool: 3, Timeout: 4 * plan.Pace, Logger: c0.Logger})
 	if s.raft, err = raft.NewRaft(c0, s.books, logs, stable, snaps, transport); err != nil {
-		l.Close()
 		return fail(fmt.Errorf("fleet.dir: %w", err))
 	}
 	mux := http.NewServeMux()
@@ -114,7 +109,7 @@
 	s.server = &http.Server{Handler: s.guard(mux), ReadTimeout: greeting, WriteTimeout: greeting + time.Duration(plan.Pact.Lease), IdleTimeout: time.Minute,
 		MaxHeaderBytes: 4096, ErrorLog: nil}
 	s.all.Go(func() { s.server.Serve(s.wire.plain) })
-	s.all.Go(func() { s.wire.accept(l) })
+	s.all.Go(s.wire.accept)
 	s.all.Go(func() { s.reign(ctx) })
 	s.all.Go(func() { s.find(ctx) })
 	return s, nil
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// accept takes connections until the listener is closed. l is what to close.
-func (w *wire) accept(l net.Listener) {
+// accept takes connections until the listener is closed.
+func (w *wire) accept() {
 	for {
 		c, err := w.inner.Accept()
 		if errors.Is(err, net.ErrClosed) {
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -335,6 +335,22 @@
 	b.over(t, 160)
 }
 
+// TestUpgrades: each node in turn is taken over by a second process on its socket, under traffic. The two have one node's
+// floors together, and the seat is the second's once the first has left it.
+func TestUpgrades(t *testing.T) {
+	beside(t)
+	b := begin(t, fleetPlan(3, 3, 2), 3)
+	for _, n := range b.Nodes {
+		n.Upgrade()
+		b.Until(n.Name+" has its seat again", soon, func() bool {
+			f := figures(n)
+			return f != nil && f.Seat != nil && f.Seat.Granter != "" && f.LeaseMs > 0
+		})
+	}
+	b.Until("the whole is in use", 2*soon, func() bool { return sum(b.Nodes) >= shared(3)-3 })
+	b.over(t, 160)
+}
+
 // TestSeatForgets: a seat that has lost its disk comes back under its name. It is another one, which the rest let in; the
 // group can then do without one of those that let it in.
 func TestSeatForgets(t *testing.T) {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -222,6 +222,7 @@
 type Node struct {
 	rig                 *Rig
 	Index               int
+	socket              *os.File // of clients, inherited by each process of the node
 	Name, Listen, Admin string
 	door                string // of its seat
 	dir                 string
@@ -236,7 +237,15 @@
 }
 
 func (r *Rig) node(i int) *Node {
-	n := &Node{rig: r, Index: i, Name: fmt.Sprint("n", i), Listen: r.free(), Admin: r.free(), dir: r.TempDir()}
+	n := &Node{rig: r, Index: i, Name: fmt.Sprint("n", i), Admin: r.free(), dir: r.TempDir()}
+	l := r.listen()
+	defer l.Close()
+	var err error
+	if n.socket, err = l.(*net.TCPListener).File(); err != nil {
+		r.Fatal(err)
+	}
+	n.Listen = l.Addr().String()
+	r.Cleanup(func() { n.socket.Close() })
 	if i < r.plan.Seats {
 		n.door = r.free()
 	}
@@ -291,7 +300,8 @@
 		n.rig.Fatal(err)
 	}
 	p := exec.Command(n.rig.plan.Program[0], n.rig.plan.Program[1:]...)
-	p.Env = append(append(append(os.Environ(), n.rig.plan.Env...), n.Env...), "EDGE_CONFIG="+path, "EDGE_LOG=info", "TMPDIR="+n.dir)
+	p.Env = append(append(append(os.Environ(), n.rig.plan.Env...), n.Env...), "EDGE_CONFIG="+path, "EDGE_LOG=info", "TMPDIR="+n.dir, "EDGE_LISTEN_FD=3")
+	p.ExtraFiles = []*os.File{n.socket}
 	p.Stdout, p.Stderr = out, out
 	if err := p.Start(); err != nil {
 		n.rig.Fatal(err)
@@ -305,6 +315,25 @@
 	n.process, n.ended, n.out = p, ended, out
 }
 
+// Upgrade starts a second process on the node's socket, and tells the first to end once that serves.
+func (n *Node) Upgrade() {
+	n.rig.Helper()
+	n.mu.Lock()
+	old, ended := n.process, n.ended
+	n.mu.Unlock()
+	lines := strings.Count(n.Log(), `"node serves"`)
+	n.Admin = n.rig.free() // the first one's is still its own
+	n.Start()
+	n.rig.Until("the second process serves", 20*time.Second, func() bool { return strings.Count(n.Log(), `"node serves"`) > lines })
+	old.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(8 * time.Second):
+		old.Process.Kill()
+		n.rig.Errorf("the first process of %s does not end", n.Name)
+	}
+}
+
 // Signal sends one to the process, if there is one.
 func (n *Node) Signal(s syscall.Signal) {
 	n.mu.Lock()
