Budgets in parts, leases in the emulator at 300 nodes, and clients of the rig that give up

Change: a budget may be in parts of the executors, each shared apart and asked for by steps (budget.Appetite, used by node and emulator alike); the module draws cold executors oftener by its part of what all have. Clients of the rig wait for their budget and a second.

--- a/cmd/fernrail/purse.go
+++ b/cmd/fernrail/purse.go
@@ -34,6 +34,8 @@
 	return p.share.May(names[b], key, units)
 }
 
+func (p *purse) Part(b dispatch.Budget, key string) float64 { return p.share.Part(names[b], key) }
+
 func (p *purse) Charge(executor string, again bool, cold float64) routing.Charge {
 	c := &fleet.Charge{}
 	if again && !c.Add(p.share, config.Again, "", 1) || cold > 0 && !c.Add(p.share, config.Cold, executor, cold*p.share.Whole(config.Cold)) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -390,7 +390,7 @@
 	score = (float64(e.sum)/topScore + score*kindScores) / (float64(e.pooled) + kindScores)
 	if warmth := d.warmth(e, d.now); warmth < 1 {
 		_, _, _, groups := d.part(e) // seldom in turn, it is taken as much likelier then
-		score *= warmth * groups
+		score *= warmth * d.terms.oftener(e, groups)
 	}
 	// Danger: the rest crowd out a scheme that one kind alone can run.
 	if t.Scheme.Kind < 0 && e.model.bound {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -96,6 +96,8 @@
 // read: what counts is taken at the moment of sending.
 type Shares interface {
 	May(b Budget, e *Executor, units float64) bool
+	// Part is what this node has of all there is.
+	Part(b Budget, e *Executor) float64
 }
 
 // inTurn is how many nodes take turns at what is cold; leases take the place of turns.
@@ -106,6 +108,15 @@
 	return max(t.Nodes, 1)
 }
 
+// oftener is how much likelier a node takes a cold executor than others do, as few may send to it: by the groups that take
+// turns at it, or by this node's part of what all have. Danger: who may send to it draws it as seldom as if all could.
+func (t *Terms) oftener(e *Executor, groups float64) float64 {
+	if t.Shares == nil {
+		return groups
+	}
+	return t.Shares.Part(Cold, e) * float64(max(t.Nodes, 1))
+}
+
 // need says whether some scheme runs on that kind of machine alone.
 func (t *Terms) need(kind int) bool {
 	return slices.ContainsFunc(t.Schemes, func(s *Scheme) bool { return s.Kind == kind })
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -94,7 +94,7 @@
 			window = fall
 		}
 		t := budget.Terms{Whole: r.whole(at+"whole", 0, 1), Floor: r.whole(at+"floor", 0, 0), Reserve: r.whole(at+"reserve", 0, 0),
-			Step: r.whole(at+"step", 1, 1), Window: r.whole(at+"window_ms", window, 1) * 1e6}
+			Step: r.whole(at+"step", 1, 1), Window: r.whole(at+"window_ms", window, 1) * 1e6, Parts: r.whole(at+"parts", 1, 1)}
 		if name == Cold && t.Window < n.Terms.Fall {
 			return nil, fmt.Errorf("%swindow_ms: %d is under the window in which a cold executor falls over, settings.Rules.Fall", at, t.Window/1e6)
 		}
@@ -111,8 +111,10 @@
 		return nil, fmt.Errorf("fleet.most: %d is not between the %d seats and %d", f.Pact.Most, count, mostNodes)
 	case f.Pact.Lease < roundTrips*int64(trip):
 		return nil, fmt.Errorf("fleet.lease_ms: %d is shorter than %d round trips of %v", f.Pact.Lease/1e6, roundTrips, trip)
-	case len(names) == 0:
-		return nil, fmt.Errorf("fleet.budgets: none is named")
+	case !names[Cold]:
+		return nil, fmt.Errorf("fleet.budgets.cold: missing; nodes that hold budgets together take no turns at cold executors")
+	case f.Pact.Budgets[Again].Parts > 1:
+		return nil, fmt.Errorf("fleet.budgets.again.parts: %d; second postings are counted for all executors together", f.Pact.Budgets[Again].Parts)
 	}
 	if err := f.Pact.Check(); err != nil {
 		return nil, fmt.Errorf("fleet.%w", err)
--- a/internal/emulator/executor.go
+++ b/internal/emulator/executor.go
@@ -189,6 +189,7 @@
 		return true
 	}
 	r := &e.world.s.Rules
+	e.world.cold += j.txn.work
 	e.sent = slices.DeleteFunc(append(e.sent, load{e.world.now, j.txn.work}), func(l load) bool { return e.world.now-l.at > int64(r.Fall) })
 	sum := 0.0
 	for _, l := range e.sent {
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -35,7 +35,8 @@
 	up       bool
 	watches  bool
 	lives    int
-	had      int              // version of the list
+	had      int // version of the list
+	places   map[*dispatch.Executor]int
 	told     []dispatch.State // of each executor; at its start a node takes all for up
 	free     int64
 	decider  Decider
@@ -45,6 +46,7 @@
 	out      map[*dispatch.Posting]*flight
 	settling bool
 	schemes  []*dispatch.Scheme // as its decider has them
+	share    *share             // of what all hold together; nil: nothing is
 }
 
 // held is a txn that the node owes an answer.
@@ -65,13 +67,19 @@
 	w := n.world
 	n.up, n.lives, n.had = true, n.lives+1, 0
 	n.txns, n.out = map[*dispatch.Txn]*held{}, map[*dispatch.Posting]*flight{}
+	n.places = map[*dispatch.Executor]int{}
 	n.fleet, n.idle, n.told = nil, make([][]int64, len(w.executors)), make([]dispatch.State, len(w.executors))
 	for _, e := range w.executors {
 		n.fleet = append(n.fleet, &dispatch.Executor{Tag: e.id, Mark: dispatch.Mark(e.id)})
+		n.places[n.fleet[len(n.fleet)-1]] = len(n.fleet) - 1
 	}
 	terms := w.s.terms(n)
+	if n.share = nil; w.s.Leases.shares() {
+		n.share = n.join()
+		terms.Shares = n.share
+	}
 	truth := func(x *dispatch.Executor) float64 {
-		e := w.executors[slices.Index(n.fleet, x)]
+		e := w.executors[n.places[x]]
 		if !e.up || e.hung || e.draining {
 			return 1e9
 		}
@@ -192,7 +200,7 @@
 func (n *node) timeOut(t *dispatch.Txn) {
 	for _, p := range t.Postings {
 		if f := n.out[p]; f != nil {
-			n.heardEnd(p, slices.Index(n.fleet, p.Executor), f, dispatch.TimedOut)
+			n.heardEnd(p, n.places[p.Executor], f, dispatch.TimedOut)
 		}
 	}
 }
@@ -237,7 +245,7 @@
 // Post sends a posting over a kept connection, or a new one if there is none.
 func (n *node) Post(p *dispatch.Posting) {
 	w := n.world
-	i := slices.Index(n.fleet, p.Executor)
+	i := n.places[p.Executor]
 	e, h := w.executors[i], n.txns[p.Txn]
 	f := &flight{sent: w.now}
 	n.out[p] = f
@@ -251,6 +259,10 @@
 		n.event(func() { n.ended(p, i, dispatch.Unsent) })
 		return
 	}
+	if n.share != nil && !n.share.take(p, len(n.idle[i]) == 0) {
+		n.event(func() { n.ended(p, i, dispatch.Unsent) })
+		return
+	}
 	w.postings++
 	w.log(judge.Event{Kind: judge.Posted, Txn: p.Txn.Tag, Posting: p.Number, Executor: e.id, Work: h.request.work / 1e9})
 	f.job = &job{txn: h.request, slots: h.request.scheme.Slots, left: h.request.work / float64(h.request.scheme.Slots), posting: p.Number}
@@ -355,7 +367,7 @@
 	if f == nil || f.over {
 		return
 	}
-	i := slices.Index(n.fleet, p.Executor)
+	i := n.places[p.Executor]
 	if f.job != nil {
 		n.world.send(n.zone, n.world.executors[i].zone, func() { n.world.executors[i].forget(f.job) })
 	}
@@ -368,6 +380,9 @@
 		Progress: int64(s.Rules.Progress), MostPostings: s.Rules.Postings, MayCancel: true, MayDuplicate: s.Rules.Doubles,
 		MaxReturn: int64(s.Rules.Return), IdleClose: int64(s.Net.Idle), ColdShare: s.Rules.ColdShare, Cold: int64(s.Rules.Cold),
 		Fall: int64(s.Rules.Fall), FallMultiple: s.Rules.FallMultiple, Grace: int64(s.Rules.Grace), OverValue: 1}
+	if s.Leases.Mode == "alone" {
+		t.Nodes, t.Me = 1, 0
+	}
 	for i := range s.Scheme {
 		c := &s.Scheme[i]
 		t.Schemes = append(t.Schemes, &dispatch.Scheme{Index: i, SlaTime: int64(c.Sla), Expiry: int64(c.Expiry), Stretch: c.Stretch,
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -42,6 +42,7 @@
 	Scheme []Scheme `toml:"scheme"`
 	Tenant []Tenant `toml:"tenant"`
 	Faults []Fault  `toml:"fault"`
+	Leases Leases   `toml:"leases"`
 }
 
 // Fleet is how many there are of what, spread evenly over the zones.
@@ -145,11 +146,11 @@
 	Again    Span    `toml:"again"`    // flap: from one fall to the next
 }
 
-var faults = []string{"crash", "hang", "slow", "errors", "flap", "deploy", "cut", "loss", "restart-nodes", "no-discovery", "burst", "spoilt"}
+var faults = []string{"crash", "hang", "slow", "errors", "flap", "deploy", "cut", "loss", "restart-nodes", "no-discovery", "burst", "spoilt", "no-granter"}
 
 // Read reads a scenario and checks it; an error names the place.
 func Read(text []byte) (*Scenario, error) {
-	s := &Scenario{Warm: Span(5e9),
+	s := &Scenario{Warm: Span(5e9), Leases: Leases{Mode: "turns", Lease: Span(3e9), Margin: 0.05},
 		Fleet: Fleet{Zones: []string{"a"}, Tick: Span(1e6)},
 		Net:   Net{Same: Span(2e5), Cross: Span(1e6), Jitter: 0.1, Dial: Span(25e7), Idle: Span(10e9)},
 		Lists: Lists{Notice: Span(1e9), Spread: Span(1e8)},
@@ -177,7 +178,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return s, s.check()
+	return s, s.Check()
 }
 
 // units refuses times that are told without a unit. Danger: the library takes a bare 40 for 40 ns.
@@ -219,8 +220,8 @@
 	return out
 }
 
-// check refuses what makes no sense, and names its key.
-func (s *Scenario) check() error {
+// Check refuses what makes no sense, and names its key.
+func (s *Scenario) Check() error {
 	var err error
 	want := func(ok bool, key, format string, args ...any) {
 		if !ok && err == nil {
@@ -293,6 +294,9 @@
 		want(f.Scheme == "" || slices.ContainsFunc(s.Scheme, func(c Scheme) bool { return c.Name == f.Scheme }), at+"scheme", "%q is none", f.Scheme)
 		want(f.Tenant == "" || slices.ContainsFunc(s.Tenant, func(c Tenant) bool { return c.Name == f.Tenant }), at+"tenant", "%q is none", f.Tenant)
 	}
+	if err == nil {
+		err = s.Leases.check(s.Fleet.Nodes, s.Rules.Fall)
+	}
 	return err
 }
 
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"fernrail/dispatch"
+	"fernrail/internal/fleet/budget"
 	"fernrail/internal/judge"
 )
 
@@ -29,12 +30,16 @@
 	spoilt    float64  // share of txns that err wherever they go
 	epoch     int64    // of the clock that nodes see; one that starts at nothing would make everyone start long ago
 	out       func(judge.Event)
+	granter   *granter
+	pact      budget.Pact
+	seen      map[string]*budget.Meter // of one that sees all
 
 	marks            map[*origin]int64 // of referenced txns: when one first ran
 	taken            int
 	fallen, messages int
 	handshakes       int
 	busy             float64 // work done
+	cold             float64 // work sent to cold executors
 	offered          float64 // work that first tries ask for
 	effects          map[*origin]int
 	postings         int
@@ -52,6 +57,8 @@
 	Fallen     int     // cold executors that were pushed over
 	Work       float64 // slots times seconds that executors did
 	Offered    float64 // the same, of first tries
+	Cold       float64 // slots times seconds of work sent to cold executors
+	Calls      int     // for leases
 	Twice      int     // effects of txns that must not run twice, beyond the first
 }
 
@@ -68,6 +75,11 @@
 		w.executors = append(w.executors, e)
 		w.listing = append(w.listing, dispatch.Member{Zone: e.zone, Kind: best, Units: 1})
 	}
+	w.pact = s.Leases.pact(s.Fleet.Nodes)
+	w.seen = w.meters()
+	if s.Leases.Mode == "leased" {
+		w.grant()
+	}
 	for i := range s.Fleet.Nodes {
 		n := &node{world: w, index: i, zone: i % len(s.Fleet.Zones), name: "n" + strconv.Itoa(i), policy: policy}
 		w.nodes = append(w.nodes, n)
@@ -88,7 +100,10 @@
 	for _, n := range w.effects {
 		r.Twice += n - 1
 	}
-	r.Offered = w.offered / 1e9
+	r.Offered, r.Cold = w.offered/1e9, w.cold/1e9
+	if w.granter != nil {
+		r.Calls = w.granter.calls
+	}
 	return r
 }
 
@@ -290,6 +305,11 @@
 		case "burst":
 			w.bursts = append(w.bursts, f)
 			over(func() { w.bursts = slices.DeleteFunc(w.bursts, func(x *Fault) bool { return x == f }) })
+		case "no-granter":
+			if g := w.granter; g != nil {
+				g.reign = nil
+				over(g.elect)
+			}
 		case "spoilt":
 			w.spoilt = f.Part
 			over(func() { w.spoilt = 0 })
--- /dev/null
+++ b/internal/fleet/budget/appetite.go
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package budget
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+const (
+	// fading is what is left of a node's demand from one request to the next when it uses less; a lease outlasts three.
+	fading = 0.8
+	// headroom over what was used, so that a node that grows seldom waits for more.
+	headroom = 1.25
+)
+
+// Appetite is what a node could use, as its requests tell. A guess of it can waste units and never breaks a whole.
+type Appetite struct {
+	pact   *Pact
+	shares map[string]*hunger
+	ranks  map[string][]string // of a budget in parts: its shares, those first that this node asks for first
+	reach  map[string]int      // how many of them it asks for beyond its due, having got none
+	peers  int
+}
+
+type hunger struct {
+	terms Terms
+	want  float64
+}
+
+// NewAppetite of a node, by its name: who asks for which parts first is drawn from names, so that nodes differ in it.
+func NewAppetite(node string, pact *Pact) *Appetite {
+	a := &Appetite{pact: pact, shares: map[string]*hunger{}, ranks: map[string][]string{}, reach: map[string]int{}, peers: 1}
+	for budget, t := range pact.Budgets {
+		names := pact.Names(budget)
+		for _, name := range names {
+			a.shares[name] = &hunger{terms: t}
+		}
+		a.ranks[budget] = names
+		slices.SortFunc(names, func(x, y string) int { return cmp.Compare(luck(node, x), luck(node, y)) })
+	}
+	return a
+}
+
+func luck(node, name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(node))
+	h.Write([]byte{0})
+	h.Write([]byte(name))
+	x := h.Sum64() // its last bytes are hardly mixed into the first bits
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
+
+// Heard notes how many ask.
+func (a *Appetite) Heard(answer *Answer) { a.peers = max(answer.Peers, 1) }
+
+// Want is what the node asks for beyond its floors. Demand gives what was used of a share since the last call, at most, and
+// whether some was refused; units what it has.
+//
+// Danger: an even part of many is less than one sending takes, and the whole lies idle though all of it is granted. So a
+// budget in parts is asked for by steps, of as many parts as there are steps for each who asks.
+func (a *Appetite) Want(demand func(name string) (peak float64, refused bool), units func(name string) int64) map[string]int64 {
+	want := map[string]int64{}
+	for budget, ranks := range a.ranks {
+		t := a.pact.Budgets[budget]
+		steps := (t.Whole - t.Reserve - t.Floor*a.pact.Most) / t.Step * int64(len(ranks))
+		due := min(max(int(steps)/a.peers, 1)+a.reach[budget], len(ranks))
+		hungry, fed := false, false
+		for i, name := range ranks {
+			h := a.shares[name]
+			peak, refused := demand(name)
+			peak *= headroom
+			if refused {
+				peak = max(peak, float64(2*units(name)+t.Step))
+			}
+			h.want = min(max(peak, h.want*fading), float64(t.Whole))
+			beyond := h.want - float64(t.Floor)
+			hungry, fed = hungry || beyond > 0.5, fed || units(name) > t.Floor
+			// Danger: what was got by asking further than is due, given back at once, and resting more than it is used.
+			if (i < due || units(name) > t.Floor) && beyond > 0.5 {
+				if want[name] = int64(beyond + 0.99); len(ranks) > 1 {
+					want[name] = (want[name] + t.Step - 1) / t.Step * t.Step
+				}
+			}
+		}
+		if a.reach[budget] = 0; hungry && !fed && len(ranks) > 1 {
+			a.reach[budget] = due
+		}
+	}
+	return want
+}
+
+// Wanted is what it last wanted of a share, with its floor.
+func (a *Appetite) Wanted(name string) float64 { return a.shares[name].want }
--- a/internal/fleet/budget/books.go
+++ b/internal/fleet/budget/books.go
@@ -10,6 +10,8 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
+	"strings"
 )
 
 // Terms are what is agreed of one budget, in whole units.
@@ -19,6 +21,7 @@
 	Reserve int64 `json:"reserve"` // of it, what is kept for nodes that hold nothing yet
 	Step    int64 `json:"step"`    // by which shares move; 1 at least
 	Window  int64 `json:"window"`  // ns; what is given back is granted again only when it is past
+	Parts   int64 `json:"parts"`   // 0 or 1: one share holds for all executors; more: executors fall into so many parts, each shared apart
 }
 
 // Pact is what all nodes of a fleet agree on before any of them starts.
@@ -41,6 +44,8 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(p.Budgets)) {
 		switch t := p.Budgets[name]; {
+		case t.Parts < 0 || t.Parts > mostParts:
+			return fmt.Errorf("budgets.%s.parts: %d is not from 1 to %d", name, t.Parts, mostParts)
 		case t.Floor < 0 || t.Reserve < 0 || t.Window <= 0 || t.Step < 1 || t.Whole < 1 || t.Whole > 1<<40:
 			return fmt.Errorf("budgets.%s: whole %d, floor %d, reserve %d, step %d, window %d: out of bounds", name, t.Whole, t.Floor, t.Reserve, t.Step, t.Window)
 		case t.Floor > t.Whole/p.Most || t.Floor*p.Most+t.Reserve > t.Whole:
@@ -50,6 +55,37 @@
 	return nil
 }
 
+// mostParts bounds what a request holds.
+const mostParts = 64
+
+// Names are the shares of a budget: one, or one for each part.
+func (p *Pact) Names(budget string) (names []string) {
+	t := p.Budgets[budget]
+	if t.Parts <= 1 {
+		return []string{budget}
+	}
+	for i := range t.Parts {
+		names = append(names, partOf(budget, i))
+	}
+	return names
+}
+
+func partOf(budget string, part int64) string { return budget + "." + strconv.FormatInt(part, 10) }
+
+// Name is the share that an executor falls to, by a number that all nodes know it by.
+func (p *Pact) Name(budget string, mark uint64) string {
+	if t := p.Budgets[budget]; t.Parts > 1 {
+		return partOf(budget, int64(mark%uint64(t.Parts)))
+	}
+	return budget
+}
+
+// terms are those of a share.
+func (p *Pact) terms(name string) Terms {
+	budget, _, _ := strings.Cut(name, ".")
+	return p.Budgets[budget]
+}
+
 // stretched is a time by this node's clock after which it has passed by any other's.
 func (p *Pact) stretched(time int64) int64 { return time + int64(float64(time)*p.Margin) + 1 }
 
@@ -98,7 +134,8 @@
 	Units  map[string]int64 `json:"units"`
 	Target map[string]int64 `json:"target"` // what it should come down to
 	Whole  map[string]int64 `json:"whole"`
-	At     int64            `json:"at"` // by the seat's clock, between the request's coming and the answer's going
+	Peers  int              `json:"peers"` // processes that hold something or asked within a lease; a hint
+	At     int64            `json:"at"`    // by the seat's clock, between the request's coming and the answer's going
 }
 
 // Expiry says that a holder's lease has run out, if it has not asked since.
@@ -140,9 +177,11 @@
 	if e.Epoch != b.Epoch {
 		return nil, fmt.Errorf("epoch %d has passed, %d reigns", e.Epoch, b.Epoch)
 	}
-	for name, whole := range e.Whole {
-		if t, found := b.Pact.Budgets[name]; found && whole >= t.Floor*b.Pact.Most+t.Reserve {
-			b.Budgets[name].Whole = whole
+	for budget, whole := range e.Whole {
+		if t, found := b.Pact.Budgets[budget]; found && whole >= t.Floor*b.Pact.Most+t.Reserve {
+			for _, name := range b.Pact.Names(budget) {
+				b.Budgets[name].Whole = whole
+			}
 		}
 	}
 	for name, upTo := range e.Rested {
@@ -166,7 +205,7 @@
 	answers = make([]*Answer, len(e.Asks))
 	for i := range e.Asks {
 		if b.hear(&e.Asks[i]) {
-			answers[i] = &Answer{Epoch: b.Epoch, Seq: e.Asks[i].Seq, Lease: b.Pact.Lease, Units: map[string]int64{}, Target: map[string]int64{}, Whole: map[string]int64{}}
+			answers[i] = &Answer{Epoch: b.Epoch, Seq: e.Asks[i].Seq, Lease: b.Pact.Lease, Peers: len(b.Holders), Units: map[string]int64{}, Target: map[string]int64{}, Whole: map[string]int64{}}
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(b.Budgets)) {
@@ -177,10 +216,12 @@
 
 func (b *Books) found(p *Pact) {
 	b.Pact = *p
-	for name, t := range p.Budgets {
+	for budget, t := range p.Budgets {
 		// Danger: a group before this one, of which no seat remembers anything, may have granted it all a moment ago.
 		pool := t.Whole - t.Floor*p.Most
-		b.Budgets[name] = &Account{Whole: t.Whole, Resting: map[int64]int64{founding: pool}, Pause: pool}
+		for _, name := range p.Names(budget) {
+			b.Budgets[name] = &Account{Whole: t.Whole, Resting: map[int64]int64{founding: pool}, Pause: pool}
+		}
 	}
 }
 
@@ -196,9 +237,11 @@
 		return false
 	}
 	h.Seq, h.Want = a.Seq, map[string]int64{}
-	for name, t := range b.Pact.Budgets {
+	for name, account := range b.Budgets {
 		b.lower(h, name, max(a.Hold[name], 0))
-		h.Want[name] = min(max(a.Want[name], 0), t.Whole)
+		if want := min(max(a.Want[name], 0), account.Whole); want > 0 {
+			h.Want[name] = want
+		}
 	}
 	return true
 }
@@ -216,7 +259,7 @@
 
 // grant gives those that ask what they want, as far as it is fair and free.
 func (b *Books) grant(name string, asks []Ask, answers []*Answer) {
-	a, t := b.Budgets[name], b.Pact.Budgets[name]
+	a, t := b.Budgets[name], b.Pact.terms(name)
 	pool := max(a.Whole-t.Floor*b.Pact.Most, 0)
 	level := b.level(name, max(pool-t.Reserve, 0))
 	for i := range asks {
@@ -238,7 +281,12 @@
 		case target < has && has-target < t.Step && h.Want[name] > 0:
 			target = has
 		}
-		answers[i].Units[name], answers[i].Target[name], answers[i].Whole[name] = h.Units[name], target, a.Whole
+		if h.Units[name] > 0 {
+			answers[i].Units[name], answers[i].Target[name] = h.Units[name], target
+		} else {
+			delete(h.Units, name)
+		}
+		answers[i].Whole[name] = a.Whole
 	}
 }
 
@@ -260,7 +308,7 @@
 
 // Out is what holders may have in force of a budget at most, with all floors.
 func (b *Books) Out(name string) int64 {
-	return b.Budgets[name].Granted + b.Pact.Budgets[name].Floor*b.Pact.Most
+	return b.Budgets[name].Granted + b.Pact.terms(name).Floor*b.Pact.Most
 }
 
 // Names are the holders in order.
--- a/internal/fleet/budget/holder.go
+++ b/internal/fleet/budget/holder.go
@@ -31,7 +31,7 @@
 // Units may be used now.
 // Danger: a process before this one may have used its node's floor a moment ago. So it counts from a window on.
 func (h *Holder) Units(budget string, now int64) int64 {
-	t, units := h.pact.Budgets[budget], int64(0)
+	t, units := h.pact.terms(budget), int64(0)
 	if !h.bare && now-h.born >= h.pact.stretched(t.Window) {
 		units = t.Floor
 	}
@@ -89,12 +89,14 @@
 		return false
 	}
 	h.until = h.sent + min(a.Lease, h.pact.Lease)
-	for name := range h.pact.Budgets {
-		units := max(a.Units[name], 0)
+	clear(h.units)
+	for name, units := range a.Units {
 		if target := max(a.Target[name], 0); target < units {
 			units, h.again = target, true // not used from now on; the next request gives it back
 		}
-		h.units[name] = units
+		if units > 0 {
+			h.units[name] = units
+		}
 	}
 	return now < h.until
 }
@@ -122,5 +124,8 @@
 	return h.sent + h.pact.Lease/3
 }
 
+// Seq is the number of the latest request.
+func (h *Holder) Seq() uint64 { return h.seq }
+
 // Until is when the lease ends by this process's clock.
 func (h *Holder) Until() int64 { return h.until }
--- a/internal/fleet/budget/meter.go
+++ b/internal/fleet/budget/meter.go
@@ -21,7 +21,7 @@
 
 // NewMeter counts over the window of the budget, by the pact's margin longer: this node's clock may be fast.
 func NewMeter(pact *Pact, budget string) *Meter {
-	return &Meter{window: pact.stretched(pact.Budgets[budget].Window), uses: map[string][]*Use{}}
+	return &Meter{window: pact.stretched(pact.terms(budget).Window), uses: map[string][]*Use{}}
 }
 
 // Used is what counts now.
--- a/internal/fleet/budget/reign.go
+++ b/internal/fleet/budget/reign.go
@@ -52,7 +52,7 @@
 		maps.DeleteFunc(rests, func(number, _ int64) bool { _, is := a.Resting[number]; return !is })
 		for number := range a.Resting {
 			if _, known := rests[number]; !known {
-				rests[number] = now + r.pact.stretched(r.pact.Budgets[name].Window)
+				rests[number] = now + r.pact.stretched(r.pact.terms(name).Window)
 				if number == founding {
 					rests[number] += r.pact.stretched(r.pact.Lease)
 				}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
+	"fernrail/dispatch"
 	"fernrail/internal/config"
 	"fernrail/internal/fleet/budget"
 )
@@ -48,6 +49,7 @@
 	mu     sync.Mutex
 	seat   *seat // nil: this process has none, or has none yet
 	holder *budget.Holder
+	wants  *budget.Appetite
 	shares map[string]*share
 }
 
@@ -55,19 +57,12 @@
 type share struct {
 	terms   budget.Terms
 	meter   *budget.Meter
-	want    float64 // units, fading
-	whole   int64   // as last heard
-	sent    int64   // counted at the sending
-	lapsed  int64   // held back there: the lease had run out, or had come down
-	slipped int64   // gone out, though the lease had run out once the write was over
+	whole   int64 // as last heard
+	sent    int64 // counted at the sending
+	lapsed  int64 // held back there: the lease had run out, or had come down
+	slipped int64 // gone out, though the lease had run out once the write was over
 }
 
-// fading is what is left of a node's demand from one request to the next when it uses less; a lease outlasts three.
-const fading = 0.8
-
-// headroom over what was used, so that a node that grows seldom waits for more.
-const headroom = 1.25
-
 // hurries is how many requests a node that needs more makes in a lease at most; one that needs no more makes three.
 const hurries = 15
 
@@ -78,8 +73,11 @@
 	f := &Fleet{plan: plan, name: name, clock: clock, log: log.With().Str("part", "fleet").Logger(), kick: make(chan struct{}, 1),
 		stop: stop, shares: map[string]*share{}}
 	f.holder = budget.NewHolder(name, identity(), &plan.Pact, clock())
+	f.wants = budget.NewAppetite(name, &plan.Pact)
 	for b, t := range plan.Pact.Budgets {
-		f.shares[b] = &share{terms: t, meter: budget.NewMeter(&plan.Pact, b), whole: t.Whole}
+		for _, part := range plan.Pact.Names(b) {
+			f.shares[part] = &share{terms: t, meter: budget.NewMeter(&plan.Pact, part), whole: t.Whole}
+		}
 	}
 	f.calls = newCalls(plan)
 	if own := plan.Seat(name); own != nil {
@@ -212,18 +210,9 @@
 func (f *Fleet) ask() budget.Ask {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now, want := f.clock(), map[string]int64{}
-	for name, s := range f.shares {
-		peak, refused := s.meter.Demand(now)
-		peak *= headroom
-		if refused {
-			peak = max(peak, float64(2*f.holder.Units(name, now)+s.terms.Step))
-		}
-		s.want = min(max(peak, s.want*fading), float64(s.terms.Whole))
-		if beyond := s.want - float64(s.terms.Floor); beyond > 0.5 {
-			want[name] = int64(beyond + 0.99)
-		}
-	}
+	now := f.clock()
+	want := f.wants.Want(func(name string) (float64, bool) { return f.shares[name].meter.Demand(now) },
+		func(name string) int64 { return f.holder.Units(name, now) })
 	return f.holder.Ask(want, now)
 }
 
@@ -231,6 +220,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	was := f.holder.Rate()
+	f.wants.Heard(a)
 	f.holder.Take(a, f.clock())
 	if rate := f.holder.Rate(); rate != 0 && was == 0 {
 		f.log.Error().Float64("rate", rate).Float64("margin", f.plan.Pact.Margin).Msg("this machine's clock, or the granter's, is beyond the margin: no lease is used")
@@ -246,6 +236,7 @@
 func (f *Fleet) May(name, key string, units float64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	name = f.share(name, key)
 	s := f.shares[name]
 	if s == nil {
 		return true
@@ -259,6 +250,26 @@
 	return false
 }
 
+// Part is what this node has of all there is now; one where the budget is not held together.
+func (f *Fleet) Part(name, key string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	name = f.share(name, key)
+	s := f.shares[name]
+	if s == nil {
+		return 1
+	}
+	return float64(f.holder.Units(name, f.clock())) / float64(s.terms.Whole)
+}
+
+// share is the one of a budget that a key falls to.
+func (f *Fleet) share(budget, key string) string {
+	if f.plan.Pact.Budgets[budget].Parts <= 1 {
+		return budget
+	}
+	return f.plan.Pact.Name(budget, dispatch.Mark(key))
+}
+
 // Whole is what all nodes have of a budget, by the pact.
 func (f *Fleet) Whole(name string) float64 { return float64(f.plan.Pact.Budgets[name].Whole) }
 
@@ -303,6 +314,7 @@
 func (c *Charge) Add(f *Fleet, name, key string, units float64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	name = f.share(name, key)
 	s := f.shares[name]
 	if s == nil {
 		return true
@@ -398,7 +410,7 @@
 	out.Epoch, out.LeaseMs = f.holder.Epoch(), max(f.holder.Until()-now, 0)/1e6
 	out.Clock = f.holder.Rate()
 	for name, s := range f.shares {
-		out.Budgets[name] = Standing{s.whole, s.terms.Floor, f.holder.Units(name, now), s.meter.Most(now), s.want, s.sent, s.lapsed, s.slipped}
+		out.Budgets[name] = Standing{s.whole, s.terms.Floor, f.holder.Units(name, now), s.meter.Most(now), f.wants.Wanted(name), s.sent, s.lapsed, s.slipped}
 	}
 	seat := f.seat
 	f.mu.Unlock()
--- a/internal/fleet/seat.go
+++ b/internal/fleet/seat.go
@@ -673,7 +673,7 @@
 	b := s.books.books
 	out.Epoch = b.Epoch
 	for name, a := range b.Budgets {
-		floors := b.Pact.Budgets[name].Floor * b.Pact.Most
+		floors := b.Out(name) - a.Granted
 		out.Budgets[name] = BudgetFigures{a.Whole, floors, a.Granted, a.Pause, a.Whole - floors - a.Granted - a.Pause}
 	}
 	for _, name := range b.Names() {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -6,6 +6,7 @@
 package rig
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -443,7 +444,10 @@
 
 // Send sends one job to the node, and gives the status of its answer; 0: there was none.
 func (n *Node) Send(id, target string, budget time.Duration) int {
-	q, err := http.NewRequest("POST", "http://"+n.Listen+target, io.NopCloser(strings.NewReader("b")))
+	// Danger: the node's socket is the rig's, so that the kernel takes connections for a process that is not there.
+	ctx, cancel := context.WithTimeout(context.Background(), budget+time.Second)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, "POST", "http://"+n.Listen+target, io.NopCloser(strings.NewReader("b")))
 	if err != nil {
 		n.rig.Error(err)
 		return 0
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -34,6 +34,8 @@
 type Purse interface {
 	// May says whether so many units more may be used now; key is an executor's address for connections, its name for the rest.
 	May(b dispatch.Budget, key string, units float64) bool
+	// Part is what this node has of all there is, by the same key.
+	Part(b dispatch.Budget, key string) float64
 	// Charge reserves what a posting takes; nil: there is none left, and it may not go out.
 	Charge(executor string, again bool, cold float64) Charge
 }
@@ -204,11 +206,19 @@
 
 // May implements dispatch.Shares, under the lock as well.
 func (n *Node) May(b dispatch.Budget, e *dispatch.Executor, units float64) bool {
-	key := e.Tag
+	return n.purse.May(b, n.key(b, e), units)
+}
+
+// Part implements dispatch.Shares, under the lock as well.
+func (n *Node) Part(b dispatch.Budget, e *dispatch.Executor) float64 {
+	return n.purse.Part(b, n.key(b, e))
+}
+
+func (n *Node) key(b dispatch.Budget, e *dispatch.Executor) string {
 	if m := n.members[e.Tag]; b == dispatch.Connect && m != nil {
-		key = m.address
+		return m.address
 	}
-	return n.purse.May(b, key, units)
+	return e.Tag
 }
 
 func (n *Node) Withdraw(p *dispatch.Posting) {
