--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -283,8 +283,11 @@
 	err := errElsewhere
 	for _, s := range f.plan.Seats {
 		var done map[string]int64
-		if err = f.calls.post(ctx, s.Address, "/whole", map[string]int64{name: units}, &done); err == nil {
+		switch fault := f.calls.post(ctx, s.Address, "/whole", map[string]int64{name: units}, &done); {
+		case fault == nil:
 			return nil
+		case errors.Is(err, errElsewhere): // what the granter says counts, not that others don't grant
+			err = fault
 		}
 	}
 	return err
