A full disk, strangers and doubled calls at the seats; bad fleet sections are refused by key

Cause: the raft library ends the whole process where a term or vote can't be written (SetUint64 on a full disk), and the node's clients with it. Streams handed to raft outlived the seat's door (wire.go kept only those not yet told apart).

Change: a seat whose disk takes no term or vote waits and is silent, as a dead one is, until it does or the seat is left with its door shut; what the disk says shows as the seat's fault. All streams end with the door. Relays can bring the calls that went by once more. Tests: disk full under the granter (a small tmpfs; skipped where none can be mounted), every call doubled and late across restarts, strangers, wrong tokens and ids, lying lengths, garbage behind a right head; TestFleet in internal/config for each key.

--- /dev/null
+++ b/internal/config/fleet_test.go
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package config
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// fleetFile is a configuration with a fleet section, changed by one hand.
+func fleetFile(t *testing.T, change func(file, fleet map[string]any)) func(string) string {
+	t.Helper()
+	text, err := os.ReadFile("../../example/fleet/n1.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var file map[string]any
+	if err := json.Unmarshal(text, &file); err != nil {
+		t.Fatal(err)
+	}
+	change(file, file["fleet"].(map[string]any))
+	text, err = json.Marshal(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return func(v string) string { return map[string]string{"EDGE_CONFIG": path}[v] }
+}
+
+// TestFleet: what is at fault is refused at the start, by its key.
+func TestFleet(t *testing.T) {
+	seat := func(f map[string]any, i int) map[string]any { return f["seats"].([]any)[i].(map[string]any) }
+	budgets := func(f map[string]any) map[string]any { return f["budgets"].(map[string]any) }
+	for want, change := range map[string]func(file, f map[string]any){
+		"":                         func(map[string]any, map[string]any) {},
+		"fleet.seats: 2 seats":     func(_, f map[string]any) { f["seats"] = f["seats"].([]any)[:2] },
+		"fleet.seats: 0 seats":     func(_, f map[string]any) { delete(f, "seats") },
+		"fleet.seats.2.name":       func(_, f map[string]any) { seat(f, 2)["name"] = "n0" },
+		"fleet.seats.2.address":    func(_, f map[string]any) { seat(f, 2)["address"] = seat(f, 0)["address"] },
+		"fleet.seats.0.address":    func(_, f map[string]any) { seat(f, 0)["address"] = "nowhere" },
+		"fleet.seats.1.name":       func(_, f map[string]any) { seat(f, 1)["name"] = "a/b" },
+		"fleet.listen":             func(file, f map[string]any) { f["listen"] = file["listen"] },
+		"fleet.secret":             func(_, f map[string]any) { f["secret"] = "short" },
+		"fleet.most: 2":            func(_, f map[string]any) { f["most"] = 2 },
+		"fleet.most":               func(_, f map[string]any) { f["most"] = "many" },
+		"fleet.lease_ms: 140":      func(_, f map[string]any) { f["lease_ms"] = 140 },
+		"fleet.margin":             func(_, f map[string]any) { f["margin"] = 1.5 },
+		"fleet.budgets.connect.wh": func(_, f map[string]any) { budgets(f)["connect"].(map[string]any)["whole"] = 7 },
+		"fleet.budgets.connect":    func(_, f map[string]any) { budgets(f)["connect"].(map[string]any)["floor"] = -1 },
+		"fleet.budgets.lunches":    func(_, f map[string]any) { budgets(f)["lunches"] = map[string]any{"whole": 3} },
+		"fleet.budgets.cold: miss": func(_, f map[string]any) { delete(budgets(f), "cold") },
+		"fleet.budgets.cold.windo": func(_, f map[string]any) { budgets(f)["cold"].(map[string]any)["window_ms"] = 100 },
+		"fleet.budgets.again.part": func(_, f map[string]any) { budgets(f)["again"].(map[string]any)["parts"] = 4 },
+		"fleet.budgets.cold.parts": func(_, f map[string]any) { budgets(f)["cold"].(map[string]any)["parts"] = 400 },
+	} {
+		n, err := Load(fleetFile(t, change))
+		if want == "" {
+			if err != nil || n.Fleet == nil || n.Fleet.Seat("n1") == nil || n.Fleet.Listen != "127.0.0.1:7201" || n.Silenced {
+				t.Errorf("%v, %+v", err, n)
+			}
+		} else if err == nil || !strings.Contains(strings.TrimPrefix(err.Error(), "settings: "), want) {
+			t.Errorf("%q: %v", want, err)
+		}
+	}
+}
+
+// TestFleetSilenced: where nodes may not talk a section is not in force, and where there is none nothing is.
+// Danger: a site that forbids messages, on which a file meant for another has its nodes listen and call.
+func TestFleetSilenced(t *testing.T) {
+	n, err := Load(fleetFile(t, func(file, _ map[string]any) {
+		file["settings"].(map[string]any)["Limits"].(map[string]any)["MayTell"] = false
+	}))
+	if err != nil || n.Fleet != nil || !n.Silenced {
+		t.Errorf("%v, %+v", err, n)
+	}
+	n, err = Load(fleetFile(t, func(file, _ map[string]any) { delete(file, "fleet") }))
+	if err != nil || n.Fleet != nil || n.Silenced {
+		t.Errorf("%v, %+v", err, n)
+	}
+}
--- a/internal/fleet/seat.go
+++ b/internal/fleet/seat.go
@@ -55,9 +55,11 @@
 	orders   chan *order
 	all      sync.WaitGroup
 	stop     context.CancelFunc
+	shut     chan struct{} // closed once nothing goes out any more
 
 	mu      sync.Mutex
 	clocks  map[string]float64 // beyond the margin: their rates by ours
+	disk    string             // its fault, while the seat waits for it
 	fault   string             // why it does not grant, though it was elected
 	reigns  bool
 	refused int64
@@ -78,7 +80,7 @@
 // takeSeat opens the seat's memory and its door, on a listener that the caller closes if this fails.
 func takeSeat(ctx context.Context, name string, l net.Listener, plan *config.Fleet, clock Clock, c *calls, log zerolog.Logger) (*seat, error) {
 	ctx, stop := context.WithCancel(ctx)
-	s := &seat{name: name, plan: plan, clock: clock, calls: c, log: log, books: &books{books: budget.NewBooks()}, clocks: map[string]float64{}, asks: make(chan *asked, waiting), orders: make(chan *order), stop: stop}
+	s := &seat{name: name, plan: plan, clock: clock, calls: c, log: log, books: &books{books: budget.NewBooks()}, clocks: map[string]float64{}, asks: make(chan *asked, waiting), orders: make(chan *order), stop: stop, shut: make(chan struct{})}
 	fail := func(err error) (*seat, error) {
 		stop()
 		if s.store != nil {
@@ -119,8 +121,9 @@
 func (s *seat) leave() {
 	s.stop()
 	s.server.Close()
-	s.raft.Shutdown().Error()
 	s.wire.Close()
+	close(s.shut)
+	s.raft.Shutdown().Error()
 	s.all.Wait()
 	if s.store != nil {
 		s.store.Close()
@@ -159,7 +162,54 @@
 		return nil, nil, nil, fmt.Errorf("%s is the memory of %s", s.plan.Dir, nameOf(s.id))
 	}
 	snaps, err = raft.NewFileSnapshotStoreWithLogger(s.plan.Dir, 2, hclog.NewNullLogger())
-	return store, store, snaps, err
+	own := &steady{store, s}
+	return own, own, snaps, err
+}
+
+// steady is what the group needs to have written before it goes on: terms and votes. The library ends the whole process if
+// that fails. Here it waits: a seat whose disk takes nothing is silent, as a dead one is, and goes on once it does.
+type steady struct {
+	*raftboltdb.BoltStore
+	seat *seat
+}
+
+func (d *steady) Set(key, value []byte) error {
+	return d.seat.persist(func() error { return d.BoltStore.Set(key, value) })
+}
+
+func (d *steady) SetUint64(key []byte, value uint64) error {
+	return d.seat.persist(func() error { return d.BoltStore.SetUint64(key, value) })
+}
+
+// StoreLog and StoreLogs may fail: the library then lets go of the grant, or leaves the step to the others.
+func (d *steady) StoreLog(l *raft.Log) error { return d.seat.noted(d.BoltStore.StoreLog(l)) }
+
+func (d *steady) StoreLogs(l []*raft.Log) error { return d.seat.noted(d.BoltStore.StoreLogs(l)) }
+
+// noted keeps what the disk said last, for operators.
+func (s *seat) noted(err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.disk = ""; err != nil {
+		s.disk = err.Error()
+	}
+	return err
+}
+
+// persist tries until it is written, or the seat is left; then its door is shut, so that nobody hears of what was not.
+func (s *seat) persist(write func() error) error {
+	for {
+		err := s.noted(write())
+		if err == nil {
+			return nil
+		}
+		s.log.Error().Err(err).Msg("the seat's disk takes nothing: it is silent until it does")
+		select {
+		case <-s.shut:
+			return nil
+		case <-time.After(time.Second):
+		}
+	}
 }
 
 // nameOf is the node's name in a seat's id.
@@ -666,7 +716,10 @@
 		}
 	}
 	s.mu.Lock()
-	out.Grants, out.Fault, out.Clocks = s.reigns, s.fault, maps.Clone(s.clocks)
+	out.Grants, out.Fault, out.Clocks = s.reigns, s.disk, maps.Clone(s.clocks)
+	if out.Fault == "" && (out.Granter == "" || out.Granter == s.name) {
+		out.Fault = s.fault // why the last reign ended; of no interest once another one grants
+	}
 	s.mu.Unlock()
 	s.books.mu.Lock()
 	defer s.books.mu.Unlock()
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -31,7 +31,8 @@
 	plain   *line // to the server of calls
 
 	mu   sync.Mutex
-	open map[net.Conn]bool // that have not said what they are
+	open map[net.Conn]bool // that came in and have not gone
+	over bool
 }
 
 // mark begins a stream. No HTTP request begins with it.
@@ -67,41 +68,55 @@
 
 // greet finds out what a connection is.
 func (w *wire) greet(c net.Conn) {
-	w.mu.Lock()
-	w.open[c] = true
-	w.mu.Unlock()
-	defer func() {
-		w.mu.Lock()
-		delete(w.open, c)
-		w.mu.Unlock()
-	}()
+	if !w.keep(c) {
+		return
+	}
 	c.SetReadDeadline(time.Now().Add(greeting))
 	in := bufio.NewReaderSize(c, 4096)
 	first, err := in.Peek(1)
 	if err != nil {
-		c.Close()
+		w.drop(c)
 		return
 	}
 	if first[0] != mark {
 		c.SetReadDeadline(time.Time{})
-		w.plain.hand(&begun{c, in})
+		w.plain.hand(&begun{c, in, w})
 		return
 	}
 	head := make([]byte, 1+64+1)
 	if _, err := io.ReadFull(in, head); err != nil || !w.calls.known(string(head[1:65])) {
 		w.stranger("a stream of no node of this fleet and version")
-		c.Close()
+		w.drop(c)
 		return
 	}
 	id := make([]byte, head[65])
 	// Danger: a seat that has lost its memory takes part under the id that went with it.
 	if _, err := io.ReadFull(in, id); err != nil || string(id) != w.id {
 		w.stranger("a stream for a seat that is not here any more")
-		c.Close()
+		w.drop(c)
 		return
 	}
 	c.SetReadDeadline(time.Time{})
-	w.streams.hand(&begun{c, in})
+	w.streams.hand(&begun{c, in, w})
+}
+
+// keep notes a connection until it is closed, so that all end with the door; false: that is shut.
+func (w *wire) keep(c net.Conn) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.over {
+		c.Close()
+		return false
+	}
+	w.open[c] = true
+	return true
+}
+
+func (w *wire) drop(c net.Conn) error {
+	w.mu.Lock()
+	delete(w.open, c)
+	w.mu.Unlock()
+	return c.Close()
 }
 
 // Dial is raft's: addresses in the group are ids.
@@ -114,15 +129,18 @@
 	if err != nil {
 		return nil, err
 	}
+	if !w.keep(c) {
+		return nil, net.ErrClosed
+	}
 	c.SetWriteDeadline(time.Now().Add(timeout))
 	head := append([]byte{mark}, w.calls.token...)
 	head = append(append(head, byte(len(id))), id...)
 	if _, err := c.Write(head); err != nil {
-		c.Close()
+		w.drop(c)
 		return nil, err
 	}
 	c.SetWriteDeadline(time.Time{})
-	return c, nil
+	return &begun{c, bufio.NewReaderSize(c, 4096), w}, nil
 }
 
 func (w *wire) Accept() (net.Conn, error) { return w.streams.Accept() }
@@ -135,6 +153,7 @@
 	w.plain.Close()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.over = true
 	for c := range w.open {
 		c.Close()
 	}
@@ -150,9 +169,12 @@
 // begun is a connection of which some bytes have been read.
 type begun struct {
 	net.Conn
-	in *bufio.Reader
+	in   *bufio.Reader
+	wire *wire
 }
 
+func (b *begun) Close() error { return b.wire.drop(b.Conn) }
+
 func (b *begun) Read(p []byte) (int, error) { return b.in.Read(p) }
 
 // line is a listener that is handed its connections.
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -4,7 +4,10 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"fmt"
+	"io"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,6 +17,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"fernrail/internal/fleet"
 	"fernrail/internal/rig"
 )
@@ -651,3 +656,146 @@
 		}
 	}
 }
+
+// TestDiskFull: the disk under the seat that grants takes no more. It grants nothing and says so, another one does, and the
+// node serves on; with room again its seat goes on.
+// Danger: the library ends the process when a vote can't be written.
+func TestDiskFull(t *testing.T) {
+	beside(t)
+	plan := fleetPlan(3, 3, 2)
+	r := rig.New(t, plan)
+	disk := t.TempDir()
+	if err := unix.Mount("tmpfs", disk, "tmpfs", 0, "size=512k"); err != nil {
+		t.Skipf("no small disk can be made here: %v", err)
+	}
+	t.Cleanup(func() { unix.Unmount(disk, unix.MNT_DETACH) })
+	small := r.Nodes[0]
+	small.Disk = disk
+	b := &busy{Rig: r}
+	for _, n := range r.Nodes {
+		n.Start()
+	}
+	for _, n := range r.Nodes {
+		n.Ready()
+		b.load(n)
+	}
+	b.Until("the whole is in use", 20*time.Second, func() bool { return sum(r.Nodes) >= shared(3)-3 })
+	filler := filepath.Join(disk, "filler")
+	if err := os.WriteFile(filler, make([]byte, 1<<20), 0o600); err == nil {
+		t.Fatal("a megabyte fits on half of one")
+	}
+	// Whoever grants hands over if it is the small one; elections write, and so show the fault.
+	if granter(r) != small {
+		dead := granter(r)
+		dead.Kill()
+		b.Until("it says so", 2*soon, func() bool { f := figures(small); return f != nil && f.Seat != nil && f.Seat.Fault != "" })
+		dead.Start()
+	} else {
+		b.Until("it says so", 2*soon, func() bool { f := figures(small); return f != nil && f.Seat != nil && f.Seat.Fault != "" })
+	}
+	b.Until("another one grants, and all of it is in use", 2*soon, func() bool {
+		g := granter(r)
+		return g != nil && g != small && sum(r.Nodes) >= shared(3)-3
+	})
+	if !small.Running() || small.Send("after", "/look", time.Second) != 200 {
+		t.Error("the node does not serve on")
+	}
+	if err := os.Remove(filler); err != nil {
+		t.Fatal(err)
+	}
+	b.Until("its seat goes on", 2*soon, func() bool {
+		f := figures(small)
+		return f != nil && f.Seat != nil && f.Seat.Fault == "" && f.Seat.Granter != ""
+	})
+	b.over(t, 80)
+}
+
+// TestDoubledAndLate: all calls of all nodes come once more, some of them long after they were answered, while shares move.
+func TestDoubledAndLate(t *testing.T) {
+	beside(t)
+	b := begin(t, fleetPlan(4, 3, 2), 4)
+	answered := 0
+	for round := range 4 {
+		for _, n := range b.Nodes {
+			for seat := range 3 {
+				answered += n.Relay(seat).Replay()
+			}
+		}
+		b.Until("shares go on", soon, func() bool { return sum(b.Nodes) >= shared(4)-6 })
+		if n := b.Nodes[3]; round%2 == 0 {
+			n.Kill() // what comes again is of a process that is gone, and then of one before this one
+		} else {
+			n.Start()
+			n.Ready()
+		}
+	}
+	if answered < 50 {
+		t.Errorf("%d calls came again: too few to have tried it", answered)
+	}
+	b.over(t, 160)
+}
+
+// TestStrangers: what comes to a seat's door and is not of this fleet and version, or lies, costs bounded work and gets
+// nothing; shares go on.
+func TestStrangers(t *testing.T) {
+	beside(t)
+	b := begin(t, fleetPlan(3, 3, 2), 3)
+	token := func(version int, secret string) string {
+		return fmt.Sprintf("%x", sha256.Sum256(fmt.Appendf(nil, "fernrail fleet %d %s", version, secret)))
+	}
+	ask := func(token, length, body string) string {
+		return "POST /ask HTTP/1.1\r\nHost: x\r\nX-Fernrail-Fleet: " + token + "\r\nContent-Length: " + length + "\r\n\r\n" + body
+	}
+	greedy := `{"node":"thief","holder":"h","seq":1,"hold":{"connect":40},"want":{"connect":40}}`
+	right := token(1, "only for tests")
+	id := figures(b.Nodes[0]).Seat.ID
+	strangers := []string{
+		"\x00\xff\xfe garbage that is no protocol\r\n\r\n",
+		"\x01" + strings.Repeat("a", 200),
+		"\x01" + right + "\x05n0/xx" + strings.Repeat("\x00\xff", 3000),
+		"\x01" + right + string(rune(len(id))) + id + "\x00" + strings.Repeat("\xdf\xff\xff\xff\xff", 2000), // maps of four thousand million
+		"\x01" + right + string(rune(len(id))) + id + strings.Repeat("\xff", 5000),
+		ask(token(1, "another fleet"), fmt.Sprint(len(greedy)), greedy),
+		ask(token(0, "only for tests"), fmt.Sprint(len(greedy)), greedy),
+		ask("", fmt.Sprint(len(greedy)), greedy),
+		ask(right, "1000000000", greedy),
+		ask(right, fmt.Sprint(1<<20), strings.Repeat(" ", 1<<20)),
+		ask(right, "9", `{"node":1`),
+		ask(right, "17", `{"node":"thief"}x`),
+		ask(right, fmt.Sprint(len(greedy)+9), strings.Replace(greedy, "}}", `},"new":1}`, 1)+" "),
+	}
+	for range 20 {
+		for _, n := range b.Nodes {
+			for _, s := range strangers {
+				c, err := net.DialTimeout("tcp", n.Door, time.Second)
+				if err != nil {
+					t.Fatal(err)
+				}
+				c.SetDeadline(time.Now().Add(50 * time.Millisecond))
+				io.WriteString(c, s)
+				answer := make([]byte, 1<<10)
+				k, _ := c.Read(answer)
+				if strings.Contains(string(answer[:k]), `"units"`) {
+					t.Errorf("%.60q was granted: %s", s, answer[:k])
+				}
+				c.Close()
+			}
+		}
+	}
+	b.Until("shares go on", soon, func() bool { return sum(b.Nodes) >= shared(3)-3 })
+	for _, n := range b.Nodes {
+		f := figures(n)
+		if !n.Running() || f == nil || f.Seat == nil {
+			t.Fatalf("%s is gone: %.2000s", n.Name, n.Log())
+		}
+		for _, h := range f.Seat.Holders {
+			if h.Node == "thief" {
+				t.Errorf("%s has %+v in its books", n.Name, h)
+			}
+		}
+		if told := strings.Count(n.Log(), "stranger"); told == 0 || told > 40 {
+			t.Errorf("%s told of strangers %d times", n.Name, told)
+		}
+	}
+	b.over(t, 160)
+}
--- a/internal/rig/relay.go
+++ b/internal/rig/relay.go
@@ -3,6 +3,7 @@
 package rig
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"testing"
@@ -19,6 +20,7 @@
 	conns map[net.Conn]bool
 	moved sync.Cond
 	over  bool
+	kept  [][]byte // the latest calls that went there
 }
 
 type way struct {
@@ -131,6 +133,9 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
+			if d == There {
+				r.record(buffer[:n])
+			}
 			if !r.pass(d) {
 				return
 			}
@@ -183,3 +188,37 @@
 		}
 	}
 }
+
+// mostKept is how many calls a relay can bring again.
+const mostKept = 64
+
+func (r *Relay) record(b []byte) {
+	if bytes.HasPrefix(b, []byte("POST ")) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.kept = append(r.kept[max(len(r.kept)-mostKept+1, 0):], bytes.Clone(b))
+	}
+}
+
+// Replay brings the calls that went there lately once more, each on a connection of its own, and gives how many were answered.
+func (r *Relay) Replay() (answered int) {
+	if r == nil {
+		return 0
+	}
+	r.mu.Lock()
+	kept := r.kept
+	r.mu.Unlock()
+	for _, call := range kept {
+		c, err := net.DialTimeout("tcp", r.to, time.Second)
+		if err != nil {
+			continue
+		}
+		c.SetDeadline(time.Now().Add(time.Second))
+		c.Write(call)
+		if n, _ := c.Read(make([]byte, 1<<10)); n > 0 {
+			answered++
+		}
+		c.Close()
+	}
+	return answered
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -6,6 +6,7 @@
 package rig
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -67,7 +68,7 @@
 	for i, n := range r.Nodes {
 		for j := range plan.Seats {
 			if j != i {
-				n.relays = append(n.relays, newRelay(t, r.Nodes[j].door))
+				n.relays = append(n.relays, newRelay(t, r.Nodes[j].Door))
 			} else {
 				n.relays = append(n.relays, nil)
 			}
@@ -225,10 +226,11 @@
 	Index               int
 	socket              *os.File // of clients, inherited by each process of the node
 	Name, Listen, Admin string
-	door                string // of its seat
+	Door                string // of its seat; empty: it has none
 	dir                 string
 	relays              []*Relay // to the seats; nil: itself
 	Env                 []string // for its next start
+	Disk                string   // its seat's directory; a part of its own unless told
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -248,7 +250,7 @@
 	n.Listen = l.Addr().String()
 	r.Cleanup(func() { n.socket.Close() })
 	if i < r.plan.Seats {
-		n.door = r.free()
+		n.Door = r.free()
 	}
 	r.Cleanup(n.Kill)
 	return n
@@ -265,16 +267,16 @@
 		}
 		var seats []map[string]any
 		for i := range n.rig.plan.Seats {
-			address := n.door
+			address := n.Door
 			if i != n.Index {
 				address = n.relays[i].Address
 			}
 			seats = append(seats, map[string]any{"name": n.rig.Nodes[i].Name, "address": address})
 		}
-		if section["seats"] = seats; n.door != "" {
-			section["listen"] = n.door
+		if section["seats"] = seats; n.Door != "" {
+			section["listen"] = n.Door
 			if n.rig.plan.Disk {
-				section["dir"] = filepath.Join(n.dir, "seat")
+				section["dir"] = cmp.Or(n.Disk, filepath.Join(n.dir, "seat"))
 			}
 		}
 		file["fleet"] = section
