Seats number rests by budget; other pacts are refused; the judge sums shares in force

A node whose file told of larger floors used them.

Change: each budget numbers its own rests; calls carry a digest of the pact, and who has another one is refused, says so and uses nothing. The judge learns rule 5 from `held` events alone, which the emulator logs.

--- a/internal/emulator/leases.go
+++ b/internal/emulator/leases.go
@@ -4,10 +4,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"fernrail/dispatch"
 	"fernrail/internal/fleet/budget"
+	"fernrail/internal/judge"
 )
 
 // Leases say how nodes hold budgets together, with the code that real ones use.
@@ -123,12 +125,13 @@
 	wants  *budget.Appetite
 	meters map[string]*budget.Meter
 	asked  int64
+	told   map[string]stake
 }
 
 // join gives a node that starts its part.
 func (n *node) join() *share {
 	w := n.world
-	s := &share{node: n, meters: w.seen}
+	s := &share{node: n, meters: w.seen, told: map[string]stake{}}
 	if w.s.Leases.Mode == "leased" {
 		s.meters = w.meters()
 		s.holder = budget.NewHolder(n.name, fmt.Sprint(n.name, ".", n.lives), &w.pact, w.now)
@@ -156,6 +159,7 @@
 		return
 	}
 	s.asked = w.now
+	defer s.tell()
 	a := s.holder.Ask(s.wants.Want(func(name string) (float64, bool) { return s.meters[name].Demand(w.now) },
 		func(name string) int64 { return s.holder.Units(name, w.now) }), w.now)
 	w.send(n.zone, 0, func() {
@@ -163,6 +167,7 @@
 			w.send(0, n.zone, func() {
 				if n.up && n.lives == life && s.holder.Take(answer, w.now) {
 					s.wants.Heard(answer)
+					s.tell()
 					w.after(max(s.holder.Next()-w.now, w.pact.Lease/15), func() { s.again(life, a.Seq) })
 				}
 			})
@@ -171,6 +176,23 @@
 	w.after(w.pact.Lease/3, func() { s.again(life, a.Seq) })
 }
 
+// tell logs what changed of what this node may use, for the judge.
+func (s *share) tell() {
+	w := s.node.world
+	for _, b := range slices.Sorted(maps.Keys(w.pact.Budgets)) {
+		for _, name := range w.pact.Names(b) {
+			now := stake{s.holder.Leased(name, w.now), s.holder.Until()}
+			if was := s.told[name]; now == was || now.units == 0 && was.units == 0 {
+				continue
+			}
+			s.told[name] = now
+			w.log(judge.Event{Kind: judge.Held, Node: s.node.name, Budget: name, Units: now.units, Until: now.until})
+		}
+	}
+}
+
+type stake struct{ units, until int64 }
+
 // again asks once more if nothing was asked since.
 func (s *share) again(life int, seq uint64) {
 	if s.holder.Seq() == seq {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -133,6 +133,15 @@
 	for _, c := range s.Scheme {
 		r.Schemes[c.Name] = judge.Scheme{Effect: c.Effect, Group: "all", Memory: int64(c.Memory)}
 	}
+	if s.Leases.Mode == "leased" {
+		p := s.Leases.pact(s.Fleet.Nodes)
+		r.Wholes = map[string]int64{}
+		for b, t := range p.Budgets {
+			for _, name := range p.Names(b) {
+				r.Wholes[name] = t.Whole - t.Floor*p.Most // nodes tell of their leases; floors are carved out
+			}
+		}
+	}
 	return r
 }
 
--- a/internal/fleet/budget/books.go
+++ b/internal/fleet/budget/books.go
@@ -6,6 +6,9 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"math"
@@ -86,6 +89,16 @@
 	return p.Budgets[budget]
 }
 
+// Digest tells pacts apart.
+func (p *Pact) Digest() string {
+	text, err := json.Marshal(p) // with the keys of maps in order
+	if err != nil {
+		panic(err) // it holds numbers and names alone
+	}
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:8])
+}
+
 // stretched is a time by this node's clock after which it has passed by any other's.
 func (p *Pact) stretched(time int64) int64 { return time + int64(float64(time)*p.Margin) + 1 }
 
@@ -93,7 +106,6 @@
 type Books struct {
 	Pact    Pact                `json:"pact"`
 	Epoch   uint64              `json:"epoch"` // of the grantor that reigns
-	Rested  uint64              `json:"rested"`
 	Budgets map[string]*Account `json:"budgets"`
 	Holders map[string]*Holding `json:"holders"`
 }
@@ -104,6 +116,7 @@
 	Granted int64           `json:"granted"` // in force or believed to be
 	Resting map[int64]int64 `json:"resting"` // units given back, by the number of their rest
 	Pause   int64           `json:"pause"`   // of these, all together
+	Rested  int64           `json:"rested"`  // the latest of those numbers
 }
 
 // Holding is what one process of a node has been granted.
@@ -251,8 +264,9 @@
 func (b *Books) lower(h *Holding, name string, to int64) {
 	if units := h.Units[name] - to; units > 0 {
 		a := b.Budgets[name]
-		b.Rested++
-		a.Resting[int64(b.Rested)] = units
+		// Danger: numbers given in the order of a map would differ from seat to seat.
+		a.Rested++
+		a.Resting[a.Rested] = units
 		a.Granted, a.Pause, h.Units[name] = a.Granted-units, a.Pause+units, to
 	}
 }
--- a/internal/fleet/budget/budget_test.go
+++ b/internal/fleet/budget/budget_test.go
@@ -3,7 +3,10 @@
 package budget
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 )
@@ -159,3 +162,89 @@
 		}
 	}
 }
+
+// TestSeatsAgree: the same steps lead to the same books at every seat. Danger: what is numbered in the order of a map has
+// other numbers at another seat, which then ends a rest that has just begun.
+func TestSeatsAgree(t *testing.T) {
+	pact := &Pact{Most: 4, Lease: 1000, Margin: 0.1, Budgets: map[string]Terms{}}
+	for _, name := range []string{"a", "b", "c", "d"} {
+		pact.Budgets[name] = Terms{Whole: 40, Floor: 1, Step: 1, Window: 100, Parts: 3}
+	}
+	chance := rand.New(rand.NewPCG(1, 1))
+	seats := []*Books{NewBooks(), NewBooks(), NewBooks()}
+	for i := range 300 {
+		e := &Entry{Epoch: 1, Reign: i == 0, Pact: pact}
+		for h := range 3 {
+			a := Ask{Node: fmt.Sprint("n", h), Holder: fmt.Sprint("p", h), Seq: uint64(i), Want: map[string]int64{}, Hold: map[string]int64{}}
+			for name := range seats[0].Budgets {
+				a.Want[name] = chance.Int64N(20)
+			}
+			e.Asks = append(e.Asks, a)
+		}
+		if i%7 == 0 {
+			e.Expired = []Expiry{{"p1", uint64(i - 1)}}
+		}
+		if i%5 == 0 {
+			e.Rested = map[string]int64{"a.0": int64(i), "b.1": int64(i)}
+		}
+		for _, b := range seats {
+			b.Apply(e)
+		}
+	}
+	want, _ := json.Marshal(seats[0])
+	for _, b := range seats[1:] {
+		if got, _ := json.Marshal(b); !bytes.Equal(got, want) {
+			t.Fatalf("two seats' books:\n%s\n%s", got, want)
+		}
+	}
+}
+
+// BenchmarkGrant: one request of each of so many holders, with demand that moves, as the granter takes them down. Its time for
+// one request has to stay far under what a lease leaves: three requests a lease and node.
+func BenchmarkGrant(b *testing.B) {
+	for _, count := range []int{9, 100, 300, 1000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			pact := &Pact{Most: int64(count), Lease: 3e9, Margin: 0.05, Budgets: map[string]Terms{
+				"again":   {Whole: 4 * int64(count), Floor: 1, Step: 1, Window: 1e9},
+				"connect": {Whole: 4 * int64(count), Floor: 1, Step: 1, Window: 1e9}, "cold": {Whole: 10000, Step: 1000, Window: 2e9, Parts: 16}}}
+			books, chance, now := NewBooks(), rand.New(rand.NewPCG(1, 1)), int64(0)
+			books.Apply(&Entry{Reign: true, Epoch: 1, Pact: pact})
+			r := NewReign(books, 1, now)
+			var holders []*Holder
+			var wants []*Appetite
+			for i := range count {
+				holders = append(holders, NewHolder(fmt.Sprint("n", i), fmt.Sprint("p", i), pact, now))
+				wants = append(wants, NewAppetite(fmt.Sprint("n", i), pact))
+			}
+			asks := 0
+			for b.Loop() {
+				now += pact.Lease / 3
+				if due := r.Due(now); due != nil {
+					books.Apply(due)
+					r.Note(books, due, nil, now)
+				}
+				e := &Entry{Epoch: 1}
+				b.StopTimer()
+				for i, h := range holders {
+					want := wants[i].Want(func(string) (float64, bool) { return 8 * chance.Float64(), chance.IntN(3) == 0 }, func(name string) int64 { return h.Units(name, now) })
+					e.Asks = append(e.Asks, h.Ask(want, now))
+				}
+				b.StartTimer()
+				answers, err := books.Apply(e)
+				if err != nil {
+					b.Fatal(err)
+				}
+				r.Note(books, e, answers, now)
+				b.StopTimer()
+				for i, h := range holders {
+					answers[i].At = now
+					h.Take(answers[i], now)
+					wants[i].Heard(answers[i])
+				}
+				asks += count
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(asks), "ns/request")
+		})
+	}
+}
--- a/internal/fleet/budget/holder.go
+++ b/internal/fleet/budget/holder.go
@@ -10,6 +10,7 @@
 	pact       *Pact
 	born       int64 // or since when the floors are this process's
 	bare       bool  // the floors are another process's
+	refused    bool  // its pact is not the fleet's: it has nothing
 	seq, epoch uint64
 	sent       int64            // the latest request
 	open       bool             // it has no answer yet
@@ -32,7 +33,7 @@
 // Danger: a process before this one may have used its node's floor a moment ago. So it counts from a window on.
 func (h *Holder) Units(budget string, now int64) int64 {
 	t, units := h.pact.terms(budget), int64(0)
-	if !h.bare && now-h.born >= h.pact.stretched(t.Window) {
+	if !h.bare && !h.refused && now-h.born >= h.pact.stretched(t.Window) {
 		units = t.Floor
 	}
 	return units + h.Leased(budget, now)
@@ -47,6 +48,14 @@
 	h.bare = !yes
 }
 
+// Refuse says whether seats refuse this process's pact. Taken up again its floors count from a window on.
+func (h *Holder) Refuse(yes bool, now int64) {
+	if h.refused && !yes {
+		h.born = now
+	}
+	h.refused = yes
+}
+
 // Leased is the part of them beyond the floor.
 func (h *Holder) Leased(budget string, now int64) int64 {
 	if now >= h.until {
--- a/internal/fleet/budget/model_test.go
+++ b/internal/fleet/budget/model_test.go
@@ -276,7 +276,7 @@
 // key tells worlds apart that can go on differently. Clocks are absolute: nothing is lost that could matter.
 func (w *world) key() string {
 	var k strings.Builder
-	fmt.Fprint(&k, w.now, w.names, w.books.Epoch, w.books.Rested, w.asks, w.answers, w.history, len(w.stale), w.reign.ends, w.reign.rests)
+	fmt.Fprint(&k, w.now, w.names, w.books.Epoch, w.books.Budgets["b"].Rested, w.asks, w.answers, w.history, len(w.stale), w.reign.ends, w.reign.rests)
 	for _, e := range w.stale {
 		fmt.Fprint(&k, *e)
 	}
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -31,7 +31,10 @@
 	return hex.EncodeToString(sum[:])
 }
 
-const tokenHeader = "X-Fernrail-Fleet"
+const (
+	tokenHeader = "X-Fernrail-Fleet"
+	pactHeader  = "X-Fernrail-Pact"
+)
 
 // calls is how this node calls seats.
 type calls struct {
@@ -47,6 +50,9 @@
 // errElsewhere says that the seat called does not grant; it may know who does.
 var errElsewhere = errors.New("this seat does not grant")
 
+// errPact says that this node's file differs from what the fleet was founded with.
+var errPact = errors.New("fleet: most, lease_ms, margin or budgets differ from what the fleet was founded with")
+
 // post makes one call. It is not sent a second time by the library: the body can be read once only.
 func (c *calls) post(ctx context.Context, address, path string, in, out any) error {
 	text, err := json.Marshal(in)
@@ -59,6 +65,7 @@
 	}
 	r.ContentLength = int64(len(text))
 	r.Header.Set(tokenHeader, c.token)
+	r.Header.Set(pactHeader, c.plan.Pact.Digest())
 	answer, err := c.client.Do(r)
 	if err != nil {
 		return err
@@ -70,6 +77,8 @@
 		return err
 	case answer.StatusCode == http.StatusMisdirectedRequest:
 		return fmt.Errorf("%w: %s", errElsewhere, body)
+	case answer.StatusCode == http.StatusConflict:
+		return errPact
 	case answer.StatusCode != http.StatusOK:
 		return fmt.Errorf("%s: %.200s", answer.Status, body)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -192,6 +192,10 @@
 		if err == nil {
 			f.take(answer)
 		}
+		// Danger: floors by a file of its own, beyond what was carved out for each.
+		f.mu.Lock()
+		f.holder.Refuse(errors.Is(err, errPact), f.clock())
+		f.mu.Unlock()
 		if ok := err == nil; ok != heard {
 			heard = ok
 			f.log.Warn().AnErr("last", err).Bool("heard", ok).Msg("leases")
--- a/internal/fleet/seat.go
+++ b/internal/fleet/seat.go
@@ -597,6 +597,10 @@
 	if !read(out, r, &a.Ask) {
 		return
 	}
+	if pact, founded := s.pact(); founded && r.Header.Get(pactHeader) != pact {
+		http.Error(out, errPact.Error(), http.StatusConflict)
+		return
+	}
 	if a.Node == "" || a.Holder == "" || len(a.Node)+len(a.Holder) > 256 {
 		http.Error(out, "no name", http.StatusBadRequest)
 		return
@@ -624,6 +628,13 @@
 	json.NewEncoder(out).Encode(given)
 }
 
+// pact is the digest of what was agreed on, once a grantor has reigned.
+func (s *seat) pact() (digest string, founded bool) {
+	s.books.mu.Lock()
+	defer s.books.mu.Unlock()
+	return s.books.books.Pact.Digest(), s.books.books.Epoch > 0
+}
+
 func (s *seat) grantsNow() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -23,6 +23,7 @@
 	Told     Kind = "told"     // a node was told that an executor is up, drains or is gone
 	Begun    Kind = "begun"    // an executor started, cold; true of the world, told to nobody
 	Killed   Kind = "killed"   // a node died; what it had is owed no more
+	Held     Kind = "held"     // a process may use so many units of a budget until a time; true from then on, in place of before
 )
 
 // Event is one line of a log. Times are nanoseconds, in order.
@@ -42,6 +43,9 @@
 	Posting  int     `json:"posting"`            // posted, ended: from 0 on in each txn
 	Work     float64 `json:"work,omitempty"`     // posted: slots times seconds that it takes
 	Since    int64   `json:"since,omitempty"`    // begun: the moment, if it was earlier
+	Budget   string  `json:"budget,omitempty"`   // held
+	Units    int64   `json:"units,omitempty"`    // held
+	Until    int64   `json:"until,omitempty"`    // held; 0: for good, as a floor is
 	Result   string  `json:"result,omitempty"`   // ended: settled, full, undialed, unsent, or another; answered: settled, declined, reversed; told: up, draining, gone
 }
 
@@ -70,8 +74,12 @@
 	Doubles      bool              `json:"doubles"` // two postings of one txn may be out at once
 	Schemes      map[string]Scheme `json:"schemes"`
 	Executors    map[string]Place  `json:"executors"`
+	Wholes       map[string]int64  `json:"wholes,omitempty"` // of budgets that nodes hold together
 }
 
+// Rule 5 is of nodes that hold budgets together: shares in force never sum to more than the whole.
+const sums = 5
+
 // Breach is a broken rule and the event that proves it, by its number from 0 on.
 type Breach struct {
 	Rule, Event int
@@ -110,11 +118,16 @@
 	begun    map[string]int64
 	sends    map[string][]send // to cold executors, in the last window
 	breaches []Breach
+	shares   map[string]map[string]stake // budget, process
+	over     map[string]bool             // budgets told of, until they are within the whole again
 }
 
+// stake is what a process may use until a time; 0: for good.
+type stake struct{ units, until int64 }
+
 func New(rules Rules) *Judge {
 	return &Judge{rules: rules, txns: map[string]*txn{}, stops: map[string]map[string]int64{}, begun: map[string]int64{},
-		sends: map[string][]send{}}
+		sends: map[string][]send{}, shares: map[string]map[string]stake{}, over: map[string]bool{}}
 }
 
 func (j *Judge) breach(rule int, format string, args ...any) {
@@ -158,8 +171,16 @@
 	case Begun:
 		j.begun[e.Executor] = cmp.Or(e.Since, e.At)
 		delete(j.sends, e.Executor)
+	case Held:
+		if _, known := j.rules.Wholes[e.Budget]; !known || e.Node == "" || e.Units < 0 {
+			return fmt.Errorf("%d units of budget %q held by %q", e.Units, e.Budget, e.Node)
+		}
+		j.held(e)
 	case Killed:
 		delete(j.stops, e.Node)
+		for _, shares := range j.shares {
+			delete(shares, e.Node)
+		}
 		for _, o := range j.owed {
 			if o.node == e.Node {
 				o.over = true
@@ -259,6 +280,30 @@
 	}
 }
 
+// held adds up what all may use at this moment. A share that ends leaves the sum by itself; one that grows is told.
+func (j *Judge) held(e Event) {
+	shares := j.shares[e.Budget]
+	if shares == nil {
+		shares = map[string]stake{}
+		j.shares[e.Budget] = shares
+	}
+	shares[e.Node] = stake{e.Units, e.Until}
+	sum := int64(0)
+	for node, s := range shares {
+		if s.until != 0 && s.until <= j.now || s.units == 0 {
+			delete(shares, node)
+			continue
+		}
+		sum += s.units
+	}
+	if whole := j.rules.Wholes[e.Budget]; sum > whole && !j.over[e.Budget] {
+		j.breach(sums, "%s: %d units are in force, the whole is %d", e.Budget, sum, whole)
+		j.over[e.Budget] = true
+	} else if sum <= whole {
+		j.over[e.Budget] = false
+	}
+}
+
 // owed is a heap of txns by when their answers are due; of several at one time the one that was taken first.
 // Danger: all that are owed, looked at for each event; at 300 nodes that took two thirds of a run.
 type owed []*txn
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -173,3 +173,38 @@
 		}
 	})
 }
+
+// TestSums: shares in force never sum to more than the whole, by events alone.
+func TestSums(t *testing.T) {
+	held := func(at int64, node string, units, until int64) Event {
+		return Event{At: at, Kind: Held, Node: node, Budget: "b", Units: units, Until: until}
+	}
+	for name, c := range map[string]struct {
+		events   []Event
+		breaches int
+	}{
+		"within":                 {[]Event{held(1, "a", 4, 10), held(2, "b", 6, 10)}, 0},
+		"over":                   {[]Event{held(1, "a", 4, 10), held(2, "b", 7, 10)}, 1},
+		"one that ended":         {[]Event{held(1, "a", 4, 10), held(10, "b", 7, 20)}, 0},
+		"one moment before":      {[]Event{held(1, "a", 4, 10), held(9, "b", 7, 20)}, 1},
+		"in place of before":     {[]Event{held(1, "a", 10, 10), held(2, "a", 3, 12), held(3, "b", 7, 12)}, 0},
+		"given back":             {[]Event{held(1, "a", 10, 10), held(2, "a", 0, 10), held(2, "b", 10, 10)}, 0},
+		"for good":               {[]Event{held(1, "a", 4, 0), held(1000, "b", 7, 2000)}, 1},
+		"dead":                   {[]Event{held(1, "a", 4, 0), {At: 2, Kind: Killed, Node: "a"}, held(3, "b", 10, 9)}, 0},
+		"told once for as long":  {[]Event{held(1, "a", 11, 90), held(2, "b", 1, 90), held(3, "b", 2, 90)}, 1},
+		"and again after a time": {[]Event{held(1, "a", 11, 5), held(6, "b", 1, 90), held(7, "a", 10, 90)}, 2},
+	} {
+		j := New(Rules{Wholes: map[string]int64{"b": 10}})
+		for _, e := range c.events {
+			if err := j.Add(e); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+		if got := j.End(2000); len(got) != c.breaches || len(got) > 0 && got[0].Rule != 5 {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+	if err := New(Rules{}).Add(held(1, "a", 1, 2)); err == nil {
+		t.Error("a budget that nobody knows")
+	}
+}
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -799,3 +799,21 @@
 	}
 	b.over(t, 160)
 }
+
+// TestOtherPact: a node whose file tells of larger floors than the fleet was founded with is refused, says so, and uses none.
+func TestOtherPact(t *testing.T) {
+	beside(t)
+	b := begin(t, fleetPlan(4, 3, 1), 3)
+	odd := b.Nodes[3]
+	odd.Change = func(section map[string]any) { section["most"] = 2 * mostNodes }
+	odd.Start()
+	odd.Ready()
+	b.load(odd)
+	b.Until("it is refused", soon, func() bool { return strings.Contains(odd.Log(), "differ from what the fleet was founded with") })
+	from := b.Now()
+	b.Until("some windows have passed", soon, func() bool { return b.Now()-from > int64(4*windowTime) })
+	if got := mine(odd); got != 0 {
+		t.Errorf("it uses %d", got)
+	}
+	b.over(t, 60)
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -228,9 +228,10 @@
 	Name, Listen, Admin string
 	Door                string // of its seat; empty: it has none
 	dir                 string
-	relays              []*Relay // to the seats; nil: itself
-	Env                 []string // for its next start
-	Disk                string   // its seat's directory; a part of its own unless told
+	relays              []*Relay                   // to the seats; nil: itself
+	Env                 []string                   // for its next start
+	Change              func(fleet map[string]any) // of its own fleet section; nil: none
+	Disk                string                     // its seat's directory; a part of its own unless told
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -279,6 +280,9 @@
 				section["dir"] = cmp.Or(n.Disk, filepath.Join(n.dir, "seat"))
 			}
 		}
+		if n.Change != nil {
+			n.Change(section)
+		}
 		file["fleet"] = section
 	}
 	text, err := json.MarshalIndent(file, "", " ")
