--- /dev/null
+++ b/internal/rig/schedule_test.go
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package rig_test
+
+import (
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"fernrail/internal/rig"
+)
+
+// TestSchedules: faults by chance, several at a time, on five nodes of which three have seats. The whole holds throughout, and
+// once all is healed the whole is in use again. FERNRAIL_RIG_SEED=N tries another seed, FERNRAIL_RIG_SCHEDULE=FILE plays what a
+// failure printed, FERNRAIL_RIG_SHORTER=1 cuts it down, which takes as many runs as that needs.
+func TestSchedules(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		if v, err := strconv.ParseUint(os.Getenv("FERNRAIL_RIG_SEED"), 10, 64); err == nil {
+			seed = v
+		}
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			beside(t)
+			s := rig.Draw(seed, 5, 3, 9, 9*time.Second)
+			if path := os.Getenv("FERNRAIL_RIG_SCHEDULE"); path != "" {
+				text, err := os.ReadFile(path)
+				if err == nil {
+					s, err = rig.Parse(string(text))
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+			}
+			play := func(t *testing.T, s rig.Schedule) {
+				b := begin(t, fleetPlan(5, 3, 2), 5)
+				b.Play(s)
+				b.Until("the whole is in use again", 3*soon, func() bool { return sum(b.Nodes) >= shared(5)-5 })
+				b.over(t, 160)
+			}
+			if os.Getenv("FERNRAIL_RIG_SHORTER") != "" {
+				s = s.Shorter(func(less rig.Schedule) bool { return !t.Run("less", func(t *testing.T) { play(t, less) }) })
+				t.Fatalf("fails still:\n%s", s)
+			}
+			defer func() {
+				if t.Failed() {
+					t.Logf("again with: FERNRAIL_RIG_SEED=%d go test ./internal/rig -run TestSchedules, or this in a file:\n%s", seed, s)
+				}
+			}()
+			play(t, s)
+		})
+		if os.Getenv("FERNRAIL_RIG_SEED") != "" {
+			return
+		}
+	}
+}
+
+// TestScheduleText: what is drawn is the same for a seed, can be written and read, and cut down to what matters.
+func TestScheduleText(t *testing.T) {
+	s := rig.Draw(7, 5, 3, 12, 10*time.Second)
+	again, err := rig.Parse(s.String())
+	if err != nil || !slices.Equal(s, again) || !slices.Equal(s, rig.Draw(7, 5, 3, 12, 10*time.Second)) || slices.Equal(s, rig.Draw(8, 5, 3, 12, 10*time.Second)) {
+		t.Errorf("%v\n%v\n%v", err, s, again)
+	}
+	if _, err := rig.Parse("10 kill"); err == nil {
+		t.Error("half a step is read")
+	}
+	both := []rig.Step{s[2], s[len(s)-3]}
+	least := s.Shorter(func(less rig.Schedule) bool { return slices.Contains(less, both[0]) && slices.Contains(less, both[1]) })
+	if !slices.Equal(least, both) {
+		t.Errorf("cut down to %v, want %v", least, both)
+	}
+}
