Membership by gossip, as a hint: shown to operators, and two nodes of one name are named

Cause: nodes knew of seats and holders only; nobody saw that two nodes had one name, whose floors they would both use.

Nothing that has to hold rests on it. The rig has relays for datagrams and streams of gossip between each pair: loss, doubling, order, cuts.

--- a/cmd/fernrail/commands.go
+++ b/cmd/fernrail/commands.go
@@ -113,6 +113,16 @@
 		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%.1f\t%.1f\t%d\t%d\t%d\t\n", name, b.Whole, b.Mine, b.Floor, b.Used, b.Want, b.Sent, b.Lapsed, b.Slipped)
 	}
 	t.Flush()
+	if len(f.Members) > 0 {
+		fmt.Fprintln(out, "\nmembers, as this node believes:")
+		for _, m := range f.Members {
+			fmt.Fprintf(out, "  %s at %s: %s", m.Name, m.Address, m.State)
+			if m.TwiceAt != "" {
+				fmt.Fprintf(out, ", and another one at %s", m.TwiceAt)
+			}
+			fmt.Fprintln(out)
+		}
+	}
 	if s := f.Seat; s != nil {
 		fmt.Fprintf(out, "\nseat %s: %s; granter %s, epoch %d, seats %s %s\n\n", s.ID, s.State, s.Granter, s.Epoch, strings.Join(s.Seats, " "), s.Fault)
 		fmt.Fprintln(t, "budget\twhole\tfloors\tgranted\tresting\tfree\t")
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -25,6 +25,9 @@
 	Seats  []Seat
 	Pace   time.Duration // after which a seat that hears nothing looks for another grantor
 	Pact   budget.Pact
+	Gossip string            // where this node hears who is there; empty: it takes no part in that
+	Join   []string          // where others do, some of them
+	Routes map[string]string // addresses that this node reaches by another one
 }
 
 // Budgets that can be held together, by the names that the file gives them.
@@ -64,6 +67,20 @@
 	f.Pact = budget.Pact{Most: r.whole("fleet.most", 0, 1), Lease: r.whole("fleet.lease_ms", defaultLease, 1) * 1e6,
 		Margin: r.real("fleet.margin", defaultMargin), Budgets: map[string]budget.Terms{}}
 	trip := time.Duration(r.whole("fleet.round_trip_ms", int64(defaultTrip/time.Millisecond), 1)) * time.Millisecond
+	f.Gossip, f.Join, f.Routes = r.word("fleet.gossip"), r.list("fleet.join"), map[string]string{}
+	for key, to := range flat {
+		if from, is := strings.CutPrefix(key, "fleet.routes."); is {
+			f.Routes[from] = to
+		}
+	}
+	for _, address := range append(slices.Clone(f.Join), f.Gossip) {
+		if host, _, err := net.SplitHostPort(address); address != "" && (err != nil || net.ParseIP(host) == nil) {
+			return nil, fmt.Errorf("fleet.gossip, fleet.join: %q is not IP:port; no names are looked up", address)
+		}
+	}
+	if f.Gossip == "" && len(f.Join) > 0 {
+		return nil, fmt.Errorf("fleet.join: nothing to join by without fleet.gossip")
+	}
 	count := int(r.whole("fleet.seats.count", 0, 0))
 	for i := range count {
 		at := "fleet.seats." + strconv.Itoa(i)
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -46,6 +47,8 @@
 		"fleet.seats.0.address":    func(_, f map[string]any) { seat(f, 0)["address"] = "nowhere" },
 		"fleet.seats.1.name":       func(_, f map[string]any) { seat(f, 1)["name"] = "a/b" },
 		"fleet.listen":             func(file, f map[string]any) { f["listen"] = file["listen"] },
+		"no names are looked up":   func(_, f map[string]any) { f["gossip"] = "node-1:7300" },
+		"fleet.join: nothing":      func(_, f map[string]any) { delete(f, "gossip") },
 		"fleet.secret":             func(_, f map[string]any) { f["secret"] = "short" },
 		"fleet.most: 2":            func(_, f map[string]any) { f["most"] = 2 },
 		"fleet.most":               func(_, f map[string]any) { f["most"] = "many" },
@@ -79,8 +82,16 @@
 	if err != nil || n.Fleet != nil || !n.Silenced {
 		t.Errorf("%v, %+v", err, n)
 	}
-	n, err = Load(fleetFile(t, func(file, _ map[string]any) { delete(file, "fleet") }))
+	silenced := n.Terms
+	n, err = Load(fleetFile(t, func(file, _ map[string]any) {
+		file["settings"].(map[string]any)["Limits"].(map[string]any)["MayTell"] = false
+		delete(file, "fleet")
+	}))
 	if err != nil || n.Fleet != nil || n.Silenced {
 		t.Errorf("%v, %+v", err, n)
 	}
+	// The module sees its terms, its seed and what happens; with the same terms its decisions are the same.
+	if !reflect.DeepEqual(n.Terms, silenced) || silenced.Shares != nil {
+		t.Errorf("a section that is not in force changes the terms: %+v, %+v", n.Terms, silenced)
+	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -46,11 +46,12 @@
 	all   sync.WaitGroup
 	stop  context.CancelFunc
 
-	mu     sync.Mutex
-	seat   *seat // nil: this process has none, or has none yet
-	holder *budget.Holder
-	wants  *budget.Appetite
-	shares map[string]*share
+	mu      sync.Mutex
+	seat    *seat    // nil: this process has none, or has none yet
+	members *members // nil: it takes no part, or not yet
+	holder  *budget.Holder
+	wants   *budget.Appetite
+	shares  map[string]*share
 }
 
 // share is what this node has of one budget, and what it did with it.
@@ -93,10 +94,40 @@
 			return nil, err
 		}
 	}
+	if plan.Gossip != "" {
+		m, err := meet(ctx, name, plan, f.log)
+		if err != nil && beside {
+			f.all.Go(func() { f.meetLater(ctx) })
+		} else if err != nil {
+			f.Close()
+			return nil, fmt.Errorf("fleet.gossip: %w", err)
+		} else {
+			f.members = m
+		}
+	}
 	f.all.Go(func() { f.keep(ctx) })
 	return f, nil
 }
 
+// meetLater waits for the address at which another process of this node still hears who is there.
+func (f *Fleet) meetLater(ctx context.Context) {
+	tick := time.NewTicker(200 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if m, err := meet(ctx, f.name, f.plan, f.log); err == nil {
+			f.mu.Lock()
+			f.members = m
+			f.mu.Unlock()
+			return
+		}
+	}
+}
+
 // sit takes the node's seat.
 func (f *Fleet) sit(ctx context.Context, l net.Listener) error {
 	s, err := takeSeat(ctx, f.name, l, f.plan, f.clock, f.calls, f.log)
@@ -141,12 +172,19 @@
 	f.holder.Own(yes, f.clock())
 }
 
-// Rise leaves the seat to another process of this node; leases go on.
+// Rise leaves the seat and the gossip to another process of this node; leases go on.
 func (f *Fleet) Rise() {
+	f.leave(false)
+}
+
+func (f *Fleet) leave(told bool) {
 	f.mu.Lock()
-	s := f.seat
-	f.seat = nil
+	s, m := f.seat, f.members
+	f.seat, f.members = nil, nil
 	f.mu.Unlock()
+	if m != nil {
+		m.leave(told)
+	}
 	if s != nil {
 		s.leave()
 	}
@@ -156,7 +194,7 @@
 func (f *Fleet) Close() {
 	f.stop()
 	f.all.Wait()
-	f.Rise()
+	f.leave(true)
 }
 
 // identity is a name that no process before this one had.
@@ -394,6 +432,7 @@
 	LeaseMs int64               `json:"lease_ms"`        // what is left of it; 0: the node lives on its floors
 	Clock   float64             `json:"clock,omitempty"` // this node's rate by the granter's, where that is beyond the margin
 	Budgets map[string]Standing `json:"budgets"`
+	Members []MemberFigures     `json:"members,omitempty"`
 	Seat    *SeatFigures        `json:"seat,omitempty"`
 }
 
@@ -419,8 +458,11 @@
 	for name, s := range f.shares {
 		out.Budgets[name] = Standing{s.whole, s.terms.Floor, f.holder.Units(name, now), s.meter.Most(now), f.wants.Wanted(name), s.sent, s.lapsed, s.slipped}
 	}
-	seat := f.seat
+	seat, members := f.seat, f.members
 	f.mu.Unlock()
+	if members != nil {
+		out.Members = members.read()
+	}
 	if seat != nil {
 		out.Seat = seat.read()
 	}
--- a/internal/fleet/seat.go
+++ b/internal/fleet/seat.go
@@ -98,7 +98,7 @@
 	c0.HeartbeatTimeout, c0.ElectionTimeout, c0.LeaderLeaseTimeout = plan.Pace, plan.Pace, plan.Pace/2
 	c0.CommitTimeout = max(plan.Pace/10, time.Millisecond)
 	c0.SnapshotThreshold, c0.TrailingLogs = snapshot, keepLogs
-	c0.Logger = hclog.New(&hclog.LoggerOptions{Output: &logged{log, rate.NewLimiter(1, 5)}, Level: hclog.Warn, DisableTime: true})
+	c0.Logger = hclog.New(&hclog.LoggerOptions{Output: &logged{log, "raft", rate.NewLimiter(1, 5)}, Level: hclog.Warn, DisableTime: true})
 	transport := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: s.wire, MaxPool: 3, Timeout: 4 * plan.Pace, Logger: c0.Logger})
 	if s.raft, err = raft.NewRaft(c0, s.books, logs, stable, snaps, transport); err != nil {
 		return fail(fmt.Errorf("fleet.dir: %w", err))
@@ -215,17 +215,19 @@
 // nameOf is the node's name in a seat's id.
 func nameOf(id string) string { name, _, _ := strings.Cut(id, "/"); return name }
 
-// logged takes raft's log over, by the line and at a bounded rate: a seat that is cut off tells of each try.
+// logged takes a library's log over, by the line and at a bounded rate: a seat that is cut off tells of each try.
 type logged struct {
 	zerolog.Logger
+	of   string
 	pace *rate.Limiter
 }
 
 func (l *logged) Write(b []byte) (int, error) {
-	if !l.pace.Allow() {
+	line := strings.TrimSpace(string(b))
+	if strings.Contains(line, "[DEBUG]") || strings.Contains(line, "[INFO]") || !l.pace.Allow() {
 		return len(b), nil
 	}
-	l.Warn().Str("raft", strings.TrimSpace(string(b))).Msg("seat")
+	l.Warn().Str("says", line).Msg(l.of)
 	return len(b), nil
 }
 
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -817,3 +817,91 @@
 	}
 	b.over(t, 60)
 }
+
+// alive is whom a node believes to be there.
+func alive(n *rig.Node) (names string) {
+	f := figures(n)
+	if f == nil {
+		return ""
+	}
+	for _, m := range f.Members {
+		if m.State == "alive" {
+			names += m.Name + " "
+		}
+	}
+	return strings.TrimSpace(names)
+}
+
+// TestMembers: nodes hear of each other by gossip, through datagrams that get lost, pass each other and come twice. A dead one
+// is missed, two halves find each other again, two of one name are named. What anyone believes moves no share.
+func TestMembers(t *testing.T) {
+	beside(t)
+	plan := fleetPlan(5, 3, 1)
+	plan.Gossip = true
+	b := begin(t, plan, 5)
+	believes := func(who []*rig.Node, names string) func() bool {
+		return func() bool {
+			for _, n := range who {
+				if alive(n) != names {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	const all = "n0 n1 n2 n3 n4"
+	b.Until("all know all", soon, believes(b.Nodes, all))
+	for _, n := range b.Nodes {
+		for other := range b.Nodes {
+			n.Gossip(other).Datagrams(0.1, 0.2)
+			n.Gossip(other).Delay(rig.There, 5*time.Millisecond)
+		}
+	}
+	dead := b.Nodes[4]
+	dead.Kill()
+	t.Logf("missed after %v", b.Until("the dead one is missed", 3*soon, believes(b.Nodes[:4], "n0 n1 n2 n3")))
+	dead.Start()
+	b.Until("it is there again", 2*soon, believes(b.Nodes, all))
+	gossips := func(do func(*rig.Relay)) {
+		for i, n := range b.Nodes {
+			for j := range b.Nodes {
+				if (i < 2) != (j < 2) {
+					do(n.Gossip(j))
+				}
+			}
+		}
+	}
+	// Gossip alone is cut: the two are taken for dead, and keep their shares.
+	gossips(func(r *rig.Relay) { r.Cut(rig.There); r.Cut(rig.Back) })
+	b.Until("each half misses the other", 3*soon, func() bool {
+		return believes(b.Nodes[:2], "n0 n1")() && believes(b.Nodes[2:], "n2 n3 n4")()
+	})
+	for _, n := range b.Nodes {
+		if mine(n) <= floorConnect {
+			t.Errorf("%s lost its share to what others believe", n.Name)
+		}
+	}
+	gossips(func(r *rig.Relay) { r.Heal(); r.Reset() })
+	t.Logf("one fleet again after %v", b.Until("all know all again", 3*soon, believes(b.Nodes, all)))
+	b.over(t, 160)
+}
+
+// TestTwoOfOneName: a second node under a name that is taken is named by the others.
+func TestTwoOfOneName(t *testing.T) {
+	beside(t)
+	plan := fleetPlan(4, 3, 1)
+	plan.Gossip = true
+	b := begin(t, plan, 3)
+	double := b.Nodes[3]
+	double.Env = []string{"EDGE_NAME=n2"}
+	double.Change = func(section map[string]any) { delete(section, "listen") }
+	double.Start()
+	b.Until("it is named", 2*soon, func() bool {
+		for _, n := range b.Nodes[:3] {
+			if strings.Contains(n.Log(), "two nodes have one name") {
+				return true
+			}
+		}
+		return false
+	})
+}
--- a/internal/rig/relay.go
+++ b/internal/rig/relay.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"testing"
@@ -15,17 +16,20 @@
 	Address string
 	to      string
 
-	mu    sync.Mutex
-	ways  [2]way // there, back
-	conns map[net.Conn]bool
-	moved sync.Cond
-	over  bool
-	kept  [][]byte // the latest calls that went there
+	mu     sync.Mutex
+	ways   [2]way // there, back
+	conns  map[net.Conn]bool
+	moved  sync.Cond
+	over   bool
+	chance *rand.Rand
+	kept   [][]byte // the latest calls that went there
 }
 
 type way struct {
-	cut   bool // nothing goes by, nothing is told: bytes are held until it is healed
+	cut   bool // nothing goes by, nothing is told: bytes are held until it is healed, datagrams are lost
 	delay time.Duration
+	loss  float64 // of datagrams
+	twice float64 // of datagrams: they come again, some time later
 }
 
 // Direction is a way of a relay.
@@ -36,13 +40,17 @@
 	Back
 )
 
-func newRelay(t testing.TB, to string) *Relay {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func newRelay(t testing.TB, at, to string) *Relay {
+	l, err := net.Listen("tcp", at)
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &Relay{Address: l.Addr().String(), to: to, conns: map[net.Conn]bool{}}
+	r := &Relay{Address: l.Addr().String(), to: to, conns: map[net.Conn]bool{}, chance: rand.New(rand.NewPCG(1, 2))}
 	r.moved.L = &r.mu
+	u, err := net.ListenPacket("udp", r.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
 	var all sync.WaitGroup
 	all.Go(func() {
 		for {
@@ -53,8 +61,10 @@
 			all.Go(func() { r.carry(c, &all) })
 		}
 	})
+	all.Go(func() { r.datagrams(u) })
 	t.Cleanup(func() {
 		l.Close()
+		u.Close()
 		r.mu.Lock()
 		r.over = true
 		r.moved.Broadcast()
@@ -67,6 +77,46 @@
 	return r
 }
 
+// datagrams takes those on that go there; answers name where they are to go, and come by the other's own relay.
+func (r *Relay) datagrams(u net.PacketConn) {
+	to, err := net.ResolveUDPAddr("udp", r.to)
+	if err != nil {
+		return
+	}
+	buffer := make([]byte, 64<<10)
+	for {
+		n, _, err := u.ReadFrom(buffer)
+		if err != nil {
+			return
+		}
+		b := bytes.Clone(buffer[:n])
+		r.mu.Lock()
+		w := r.ways[There]
+		lost, twice, later := w.cut || r.chance.Float64() < w.loss, r.chance.Float64() < w.twice, time.Duration(r.chance.Int64N(int64(time.Second)))
+		r.mu.Unlock()
+		send := func() { u.WriteTo(b, to) }
+		switch {
+		case lost:
+		case w.delay > 0: // those that wait pass each other
+			time.AfterFunc(w.delay+later/10, send)
+		default:
+			send()
+		}
+		if twice && !lost {
+			time.AfterFunc(w.delay+later, send)
+		}
+	}
+}
+
+// Datagrams has some that go there lost and some come twice, late.
+func (r *Relay) Datagrams(loss, twice float64) {
+	if r != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.ways[There].loss, r.ways[There].twice = loss, twice
+	}
+}
+
 // carry takes one connection on. While the way there is cut nothing is opened at the other end.
 func (r *Relay) carry(near net.Conn, all *sync.WaitGroup) {
 	if !r.keep(near) {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -46,6 +46,7 @@
 	Settings  map[string]any // of the platform, as in a node's file
 	Fleet     map[string]any // the fleet section, but for listen, seats and dir; nil: none
 	Disk      bool           // seats have a directory
+	Gossip    bool           // nodes hear of each other, by relays for datagrams and streams between each pair
 	Reply     time.Duration  // of an executor
 	Work      time.Duration  // that clients say each job takes; 0: they say nothing
 	Started   time.Time      // of the executors, as discovery tells it; zero: long ago
@@ -66,9 +67,16 @@
 		r.Nodes = append(r.Nodes, r.node(i))
 	}
 	for i, n := range r.Nodes {
+		for j := range plan.Nodes {
+			if plan.Gossip && j != i {
+				n.gossips = append(n.gossips, newRelay(t, r.free(), r.Nodes[j].gossip))
+			} else {
+				n.gossips = append(n.gossips, nil)
+			}
+		}
 		for j := range plan.Seats {
 			if j != i {
-				n.relays = append(n.relays, newRelay(t, r.Nodes[j].Door))
+				n.relays = append(n.relays, newRelay(t, "127.0.0.1:0", r.Nodes[j].Door))
 			} else {
 				n.relays = append(n.relays, nil)
 			}
@@ -229,6 +237,8 @@
 	Door                string // of its seat; empty: it has none
 	dir                 string
 	relays              []*Relay                   // to the seats; nil: itself
+	gossip              string                     // where it hears of others
+	gossips             []*Relay                   // to each other node\'s such address
 	Env                 []string                   // for its next start
 	Change              func(fleet map[string]any) // of its own fleet section; nil: none
 	Disk                string                     // its seat's directory; a part of its own unless told
@@ -253,6 +263,9 @@
 	if i < r.plan.Seats {
 		n.Door = r.free()
 	}
+	if r.plan.Gossip {
+		n.gossip = r.free()
+	}
 	r.Cleanup(n.Kill)
 	return n
 }
@@ -280,6 +293,15 @@
 				section["dir"] = cmp.Or(n.Disk, filepath.Join(n.dir, "seat"))
 			}
 		}
+		if n.rig.plan.Gossip {
+			routes := map[string]any{}
+			for j, relay := range n.gossips {
+				if relay != nil {
+					routes[n.rig.Nodes[j].gossip] = relay.Address
+				}
+			}
+			section["gossip"], section["join"], section["routes"] = n.gossip, []string{n.rig.Nodes[0].gossip, n.rig.Nodes[1].gossip}, routes
+		}
 		if n.Change != nil {
 			n.Change(section)
 		}
@@ -501,5 +523,8 @@
 	}
 }
 
+// Gossip gives the relay by which the node's gossip reaches another; nil: itself.
+func (n *Node) Gossip(other int) *Relay { return n.gossips[other] }
+
 // Relay gives the relay by which the node calls a seat.
 func (n *Node) Relay(seat int) *Relay { return n.relays[seat] }
