Second postings as a share of first ones: the whole follows what nodes tell of

Change: with `share` the whole of `again` is that part of all first postings that nodes told of with their latest requests, between floors and `whole`; a falling one waits for what is out, and a node whose lease has run out is forgotten.

--- a/cmd/fernrail/purse.go
+++ b/cmd/fernrail/purse.go
@@ -38,6 +38,9 @@
 
 func (p *purse) Charge(executor string, again bool, cold float64) routing.Charge {
 	c := &fleet.Charge{}
+	if !again {
+		c.First(p.share)
+	}
 	if again && !c.Add(p.share, config.Again, "", 1) || cold > 0 && !c.Add(p.share, config.Cold, executor, cold*p.share.Whole(config.Cold)) {
 		c.Void()
 		return nil
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -111,7 +111,7 @@
 			window = fall
 		}
 		t := budget.Terms{Whole: r.whole(at+"whole", 0, 1), Floor: r.whole(at+"floor", 0, 0), Reserve: r.whole(at+"reserve", 0, 0),
-			Step: r.whole(at+"step", 1, 1), Window: r.whole(at+"window_ms", window, 1) * 1e6, Parts: r.whole(at+"parts", 1, 1)}
+			Step: r.whole(at+"step", 1, 1), Window: r.whole(at+"window_ms", window, 1) * 1e6, Parts: r.whole(at+"parts", 1, 1), Share: r.real(at+"share", 0)}
 		if name == Cold && t.Window < n.Terms.Fall {
 			return nil, fmt.Errorf("%swindow_ms: %d is under the window in which a cold executor falls over, settings.Rules.Fall", at, t.Window/1e6)
 		}
@@ -130,6 +130,8 @@
 		return nil, fmt.Errorf("fleet.lease_ms: %d is shorter than %d round trips of %v", f.Pact.Lease/1e6, roundTrips, trip)
 	case !names[Cold]:
 		return nil, fmt.Errorf("fleet.budgets.cold: missing; nodes that hold budgets together take no turns at cold executors")
+	case f.Pact.Budgets[Cold].Share != 0 || f.Pact.Budgets[Connect].Share != 0:
+		return nil, fmt.Errorf("fleet.budgets: share is for second postings alone, which are one of first ones")
 	case f.Pact.Budgets[Again].Parts > 1:
 		return nil, fmt.Errorf("fleet.budgets.again.parts: %d; second postings are counted for all executors together", f.Pact.Budgets[Again].Parts)
 	}
--- a/internal/fleet/budget/books.go
+++ b/internal/fleet/budget/books.go
@@ -19,12 +19,13 @@
 
 // Terms are what is agreed of one budget, in whole units.
 type Terms struct {
-	Whole   int64 `json:"whole"`   // what all nodes may use together, in each window
-	Floor   int64 `json:"floor"`   // of it, what each node has without a lease
-	Reserve int64 `json:"reserve"` // of it, what is kept for nodes that hold nothing yet
-	Step    int64 `json:"step"`    // by which shares move; 1 at least
-	Window  int64 `json:"window"`  // ns; what is given back is granted again only when it is past
-	Parts   int64 `json:"parts"`   // 0 or 1: one share holds for all executors; more: executors fall into so many parts, each shared apart
+	Whole   int64   `json:"whole"`   // what all nodes may use together, in each window
+	Floor   int64   `json:"floor"`   // of it, what each node has without a lease
+	Reserve int64   `json:"reserve"` // of it, what is kept for nodes that hold nothing yet
+	Step    int64   `json:"step"`    // by which shares move; 1 at least
+	Window  int64   `json:"window"`  // ns; what is given back is granted again only when it is past
+	Share   float64 `json:"share"`   // 0: none; else the whole is this part of all first postings that nodes tell of, Whole at most
+	Parts   int64   `json:"parts"`   // 0 or 1: one share holds for all executors; more: executors fall into so many parts, each shared apart
 }
 
 // Pact is what all nodes of a fleet agree on before any of them starts.
@@ -49,6 +50,8 @@
 		switch t := p.Budgets[name]; {
 		case t.Parts < 0 || t.Parts > mostParts:
 			return fmt.Errorf("budgets.%s.parts: %d is not from 1 to %d", name, t.Parts, mostParts)
+		case !(t.Share >= 0 && t.Share <= 1):
+			return fmt.Errorf("budgets.%s.share: %v is no share from 0 to 1", name, t.Share)
 		case t.Floor < 0 || t.Reserve < 0 || t.Window <= 0 || t.Step < 1 || t.Whole < 1 || t.Whole > 1<<40:
 			return fmt.Errorf("budgets.%s: whole %d, floor %d, reserve %d, step %d, window %d: out of bounds", name, t.Whole, t.Floor, t.Reserve, t.Step, t.Window)
 		case t.Floor > t.Whole/p.Most || t.Floor*p.Most+t.Reserve > t.Whole:
@@ -58,6 +61,9 @@
 	return nil
 }
 
+// mostFirst bounds what is believed of one node's first postings in a window.
+const mostFirst = 1 << 24
+
 // mostParts bounds what a request holds.
 const mostParts = 64
 
@@ -112,6 +118,7 @@
 
 // Account is one budget as it stands.
 type Account struct {
+	Most    int64           `json:"most"`    // of Whole, by the pact or operators
 	Whole   int64           `json:"whole"`   // aimed at; more may be out while it is being lowered
 	Granted int64           `json:"granted"` // in force or believed to be
 	Resting map[int64]int64 `json:"resting"` // units given back, by the number of their rest
@@ -122,7 +129,8 @@
 // Holding is what one process of a node has been granted.
 type Holding struct {
 	Node  string           `json:"node"`
-	Seq   uint64           `json:"seq"` // of its latest request
+	Seq   uint64           `json:"seq"`   // of its latest request
+	First int64            `json:"first"` // as it told with that
 	Units map[string]int64 `json:"units"`
 	Want  map[string]int64 `json:"want"`
 }
@@ -134,6 +142,7 @@
 	Seq    uint64           `json:"seq"`    // rises with each request
 	Hold   map[string]int64 `json:"hold"`   // it uses no more than that from now on, until an answer to this very request
 	Want   map[string]int64 `json:"want"`
+	First  int64            `json:"first"`          // first postings that it sent in a window
 	Leased bool             `json:"leased"`         // it has a lease, and so has had an answer within that time
 	Epoch  uint64           `json:"epoch"`          // of the latest answer that it took
 	Rate   float64          `json:"rate,omitempty"` // of its clock by the seat's, where that is beyond the margin
@@ -193,7 +202,7 @@
 	for budget, whole := range e.Whole {
 		if t, found := b.Pact.Budgets[budget]; found && whole >= t.Floor*b.Pact.Most+t.Reserve {
 			for _, name := range b.Pact.Names(budget) {
-				b.Budgets[name].Whole = whole
+				b.Budgets[name].Most, b.Budgets[name].Whole = whole, whole
 			}
 		}
 	}
@@ -221,19 +230,33 @@
 			answers[i] = &Answer{Epoch: b.Epoch, Seq: e.Asks[i].Seq, Lease: b.Pact.Lease, Peers: len(b.Holders), Units: map[string]int64{}, Target: map[string]int64{}, Whole: map[string]int64{}}
 		}
 	}
+	b.follow()
 	for _, name := range slices.Sorted(maps.Keys(b.Budgets)) {
 		b.grant(name, e.Asks, answers)
 	}
 	return answers, nil
 }
 
+// follow has wholes that are a share of first postings go up and down with them. A whole that falls waits for what is out.
+func (b *Books) follow() {
+	first := int64(0)
+	for _, h := range b.Holders {
+		first += h.First
+	}
+	for name, a := range b.Budgets {
+		if t := b.Pact.terms(name); t.Share > 0 {
+			a.Whole = max(min(int64(t.Share*float64(first)), a.Most), t.Floor*b.Pact.Most+t.Reserve)
+		}
+	}
+}
+
 func (b *Books) found(p *Pact) {
 	b.Pact = *p
 	for budget, t := range p.Budgets {
 		// Danger: a group before this one, of which no seat remembers anything, may have granted it all a moment ago.
 		pool := t.Whole - t.Floor*p.Most
 		for _, name := range p.Names(budget) {
-			b.Budgets[name] = &Account{Whole: t.Whole, Resting: map[int64]int64{founding: pool}, Pause: pool}
+			b.Budgets[name] = &Account{Most: t.Whole, Whole: t.Whole, Resting: map[int64]int64{founding: pool}, Pause: pool}
 		}
 	}
 }
@@ -249,7 +272,7 @@
 	} else if a.Seq <= h.Seq {
 		return false
 	}
-	h.Seq, h.Want = a.Seq, map[string]int64{}
+	h.Seq, h.First, h.Want = a.Seq, min(max(a.First, 0), mostFirst), map[string]int64{}
 	for name, account := range b.Budgets {
 		b.lower(h, name, max(a.Hold[name], 0))
 		if want := min(max(a.Want[name], 0), account.Whole); want > 0 {
--- a/internal/fleet/budget/budget_test.go
+++ b/internal/fleet/budget/budget_test.go
@@ -116,6 +116,30 @@
 	}
 }
 
+// TestFollows: a whole that is a share of first postings goes up and down with what nodes tell, waits for what is out as it
+// falls, and forgets a node whose lease has run out.
+func TestFollows(t *testing.T) {
+	pact := &Pact{Most: 2, Lease: 1000, Budgets: map[string]Terms{"b": {Whole: 50, Floor: 2, Step: 1, Window: 100, Share: 0.1}}}
+	b := NewBooks()
+	b.Apply(&Entry{Reign: true, Epoch: 1, Pact: pact})
+	b.Apply(&Entry{Epoch: 1, Rested: map[string]int64{"b": founding}})
+	for i, c := range []struct{ one, two, whole int64 }{
+		{0, 0, 4}, {100, 0, 10}, {200, 100, 30}, {9000, -5, 50}, {1 << 60, 1 << 60, 50}, {100, 50, 15},
+	} {
+		for j, first := range []int64{c.one, c.two} {
+			a := Ask{Node: fmt.Sprint(j), Holder: fmt.Sprint(j), Seq: uint64(i + 1), First: first}
+			b.Apply(&Entry{Epoch: 1, Asks: []Ask{a}})
+		}
+		if got := b.Budgets["b"].Whole; got != c.whole {
+			t.Errorf("%d and %d first postings: a whole of %d, want %d", c.one, c.two, got, c.whole)
+		}
+	}
+	b.Apply(&Entry{Epoch: 1, Expired: []Expiry{{"0", 6}}})
+	if got := b.Budgets["b"].Whole; got != 5 {
+		t.Errorf("%d after the first node is gone", got)
+	}
+}
+
 // TestMeter: what counts is the moment of sending, by a sliding window; what was reserved and never left gives its room back.
 func TestMeter(t *testing.T) {
 	pact := &Pact{Budgets: map[string]Terms{"b": {Window: 99}}}
--- a/internal/fleet/budget/meter.go
+++ b/internal/fleet/budget/meter.go
@@ -72,6 +72,11 @@
 	return true
 }
 
+// Note counts a sending that needs no room.
+func (m *Meter) Note(key string, amount float64, now int64) {
+	m.uses[key] = append(m.uses[key], &Use{key, amount, now})
+}
+
 // Void gives room back for what never left. What was sent counts for its window.
 func (m *Meter) Void(u *Use) {
 	if u.sent != 0 {
--- a/internal/fleet/budget/model_test.go
+++ b/internal/fleet/budget/model_test.go
@@ -255,7 +255,7 @@
 		b.Budgets[name] = &own
 	}
 	for name, h := range w.books.Holders {
-		b.Holders[name] = &Holding{h.Node, h.Seq, maps.Clone(h.Units), h.Want}
+		b.Holders[name] = &Holding{Node: h.Node, Seq: h.Seq, Units: maps.Clone(h.Units), Want: h.Want}
 	}
 	r := *w.reign
 	c.reign, r.ends, r.rests = &r, maps.Clone(w.reign.ends), map[string]map[int64]int64{}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,6 +51,7 @@
 	members *members // nil: it takes no part, or not yet
 	holder  *budget.Holder
 	wants   *budget.Appetite
+	firsts  *budget.Meter // first postings, in a window of second ones
 	shares  map[string]*share
 }
 
@@ -74,7 +75,7 @@
 	f := &Fleet{plan: plan, name: name, clock: clock, log: log.With().Str("part", "fleet").Logger(), kick: make(chan struct{}, 1),
 		stop: stop, shares: map[string]*share{}}
 	f.holder = budget.NewHolder(name, identity(), &plan.Pact, clock())
-	f.wants = budget.NewAppetite(name, &plan.Pact)
+	f.wants, f.firsts = budget.NewAppetite(name, &plan.Pact), budget.NewMeter(&plan.Pact, config.Again)
 	for b, t := range plan.Pact.Budgets {
 		for _, part := range plan.Pact.Names(b) {
 			f.shares[part] = &share{terms: t, meter: budget.NewMeter(&plan.Pact, part), whole: t.Whole}
@@ -255,7 +256,9 @@
 	now := f.clock()
 	want := f.wants.Want(func(name string) (float64, bool) { return f.shares[name].meter.Demand(now) },
 		func(name string) int64 { return f.holder.Units(name, now) })
-	return f.holder.Ask(want, now)
+	a := f.holder.Ask(want, now)
+	a.First = int64(f.firsts.Used("", now))
+	return a
 }
 
 func (f *Fleet) take(a *budget.Answer) {
@@ -346,6 +349,7 @@
 // Charge is what one sending takes of several budgets. The zero one is of none.
 type Charge struct {
 	fleet *Fleet
+	first bool
 	uses  []charged
 }
 
@@ -375,6 +379,9 @@
 	return true
 }
 
+// First has the sending counted as a first posting, of which second ones may be a share.
+func (c *Charge) First(f *Fleet) { c.fleet, c.first = f, true }
+
 // Send says whether what was reserved may go out at this very moment. Sent has to be called once it has.
 func (c *Charge) Send() bool {
 	if c.fleet == nil {
@@ -393,6 +400,9 @@
 	for _, u := range c.uses {
 		u.share.sent++
 	}
+	if c.first {
+		f.firsts.Note("", 1, now)
+	}
 	return true
 }
 
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -543,13 +543,17 @@
 }
 
 // TestAgain: executors that turn everything away draw second postings from all nodes; together they are no more than the
-// whole. Without a fleet the same traffic sends far more: the count can fail.
+// whole, or than a share of first ones. Without a fleet the same traffic sends far more: the count can fail.
 func TestAgain(t *testing.T) {
 	beside(t)
-	for _, together := range []bool{true, false} {
+	for _, kind := range []string{"whole", "share", "alone"} {
+		const share = 0.05
 		plan := fleetPlan(3, 3, 3)
-		if !together {
+		switch kind {
+		case "alone":
 			plan.Settings["Limits"].(map[string]any)["MayTell"] = false
+		case "share":
+			plan.Fleet["budgets"].(map[string]any)["again"] = map[string]any{"whole": 10000, "share": share, "floor": 1, "window_ms": windowTime.Milliseconds()}
 		}
 		r := rig.New(t, plan)
 		for _, n := range r.Nodes {
@@ -558,7 +562,7 @@
 		for _, n := range r.Nodes {
 			n.Ready()
 		}
-		if together {
+		if kind != "alone" {
 			r.Until("a lease for each", 20*time.Second, func() bool {
 				for _, n := range r.Nodes {
 					if f := figures(n); f == nil || f.LeaseMs == 0 {
@@ -577,7 +581,7 @@
 		for _, end := range ends {
 			end()
 		}
-		seen, again := map[string]bool{}, []int64{}
+		seen, first, again := map[string]bool{}, []int64{}, []int64{}
 		var all []rig.Job
 		for _, e := range r.Executors {
 			_, jobs := e.Noted()
@@ -587,16 +591,23 @@
 		for _, j := range all {
 			if seen[j.ID] {
 				again = append(again, j.At)
+			} else {
+				first = append(first, j.At)
 			}
 			seen[j.ID] = true
 		}
+		bound := wholeAgain
+		if kind == "share" {
+			// Of the most first ones that any window had, and floors; the whole follows within a lease.
+			bound = max(int(share*float64(rig.Most(first, windowTime+jitter))), mostNodes*floorConnect)
+		}
 		most := rig.Most(again, windowTime-jitter)
-		t.Logf("together %v: %d second postings of %d, %d in a window at most, the whole is %d", together, len(again), len(all), most, wholeAgain)
-		if together != (most <= wholeAgain) {
-			t.Errorf("together %v: %d second postings in a window, the whole is %d", together, most, wholeAgain)
+		t.Logf("%s: %d second postings of %d, %d in a window at most, of %d", kind, len(again), len(all), most, bound)
+		if (kind != "alone") != (most <= bound) {
+			t.Errorf("%s: %d second postings in a window, the whole is %d", kind, most, bound)
 		}
-		if together && len(again) < wholeAgain {
-			t.Errorf("%d second postings: too few to have tried the whole", len(again))
+		if kind != "alone" && len(again) < bound {
+			t.Errorf("%s: %d second postings: too few to have tried the whole", kind, len(again))
 		}
 	}
 }
