Seats without disks found anew when most lost their memory; nine nodes, five seats; figures in telemetry

Cause: where seats keep nothing on disk and two of three are started anew at once, nobody can let them in, and all nodes live on their floors for good (seat.go find: the third one is a member, so that it neither founds nor enters).

Change: such a seat, once nobody has been elected and most seats are blank for a lease, forgets as well; the group is founded anew and grants after a lease and a window. Not with directories, which may come back. `telemetry` has the fleet's figures. Tests: most seats forget, each of five seats alone and two at once among nine nodes, schedules on nine.

--- a/cmd/fernrail/desk.go
+++ b/cmd/fernrail/desk.go
@@ -159,7 +159,9 @@
 
 func (d *desk) Telemetry() ([]byte, error) {
 	f := d.counters.Read()
-	f.ExecutorsKnown, f.ExecutorsExcluded = d.node.Figures()
+	if f.ExecutorsKnown, f.ExecutorsExcluded = d.node.Figures(); d.share != nil {
+		f.Fleet = d.share.Read()
+	}
 	return f.Line()
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -137,8 +137,25 @@
 		return err
 	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.seat = s
+	f.mu.Unlock()
+	f.all.Go(func() {
+		select {
+		case <-ctx.Done():
+		case <-s.shut:
+		case <-s.lost:
+			f.mu.Lock()
+			mine := f.seat == s
+			if mine {
+				f.seat = nil
+			}
+			f.mu.Unlock()
+			if mine {
+				s.leave()
+				f.sitLater(ctx)
+			}
+		}
+	})
 	return nil
 }
 
--- a/internal/fleet/seat.go
+++ b/internal/fleet/seat.go
@@ -56,6 +56,7 @@
 	all      sync.WaitGroup
 	stop     context.CancelFunc
 	shut     chan struct{} // closed once nothing goes out any more
+	lost     chan struct{} // closed once the group can never decide again, and this seat has to forget it
 
 	mu      sync.Mutex
 	clocks  map[string]float64 // beyond the margin: their rates by ours
@@ -80,7 +81,7 @@
 // takeSeat opens the seat's memory and its door, on a listener that the caller closes if this fails.
 func takeSeat(ctx context.Context, name string, l net.Listener, plan *config.Fleet, clock Clock, c *calls, log zerolog.Logger) (*seat, error) {
 	ctx, stop := context.WithCancel(ctx)
-	s := &seat{name: name, plan: plan, clock: clock, calls: c, log: log, books: &books{books: budget.NewBooks()}, clocks: map[string]float64{}, asks: make(chan *asked, waiting), orders: make(chan *order), stop: stop, shut: make(chan struct{})}
+	s := &seat{name: name, plan: plan, clock: clock, calls: c, log: log, books: &books{books: budget.NewBooks()}, clocks: map[string]float64{}, asks: make(chan *asked, waiting), orders: make(chan *order), stop: stop, shut: make(chan struct{}), lost: make(chan struct{})}
 	fail := func(err error) (*seat, error) {
 		stop()
 		if s.store != nil {
@@ -457,9 +458,16 @@
 func (s *seat) find(ctx context.Context) {
 	tick := time.NewTicker(max(s.plan.Pace, 50*time.Millisecond))
 	defer tick.Stop()
+	since := s.clock()
 	for {
 		if !s.blank() && s.member() {
-			// Part of it; but a group may have put this id out since. That shows when nobody is heard for long.
+			if !s.beyond(ctx) {
+				since = s.clock()
+			} else if s.clock()-since > s.plan.Pact.Lease {
+				s.log.Error().Msg("most seats have lost their memory: this one forgets as well, and the group is founded anew")
+				close(s.lost)
+				return
+			}
 		} else if !s.found(ctx) {
 			s.enter(ctx)
 		}
@@ -471,6 +479,28 @@
 	}
 }
 
+// beyond says whether the group can never decide again: nobody is elected, and most seats are there without the memory that
+// was theirs. Only where seats have no directory, for what is on a disk may come back.
+// Danger: two of three that start anew while the third goes on; nobody can let them in, and all live on floors for good.
+func (s *seat) beyond(ctx context.Context) bool {
+	if _, id := s.raft.LeaderWithID(); s.plan.Dir != "" || id != "" {
+		return false
+	}
+	blanks := 0
+	for _, x := range s.plan.Seats {
+		if x.Name == s.name {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, time.Second)
+		var w who
+		if s.calls.post(call, x.Address, "/who", &who{s.name, s.id, false}, &w) == nil && w.Blank && w.Name == x.Name {
+			blanks++
+		}
+		cancel()
+	}
+	return 2*blanks > len(s.plan.Seats)
+}
+
 // blank says whether the seat remembers no group.
 func (s *seat) blank() bool {
 	c := s.raft.GetConfiguration()
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -303,6 +303,38 @@
 	b.over(t, 160)
 }
 
+// TestEachSeatAlone: of nine nodes with five seats each seat in turn is cut off from all the others. It falls to its floors, the
+// rest have the whole; and in the end two are cut off at once, each alone.
+func TestEachSeatAlone(t *testing.T) {
+	beside(t)
+	b := begin(t, fleetPlan(9, 5, 2), 9)
+	apart := func(alone ...*rig.Node) {
+		t.Helper()
+		for _, a := range alone {
+			cut([]*rig.Node{a}, b.Nodes[:5], rig.There, rig.Back)
+			cut(but(b.Nodes, a), []*rig.Node{a}, rig.There, rig.Back)
+		}
+		rest := b.Nodes
+		for _, a := range alone {
+			rest = but(rest, a)
+		}
+		b.Until("they are on their floors, and the rest have the whole", 2*soon, func() bool {
+			return sum(alone) == int64(len(alone))*floorConnect && sum(rest) >= shared(len(rest))-int64(len(rest))
+		})
+		for _, n := range b.Nodes {
+			for seat := range 5 {
+				n.Relay(seat).Heal()
+			}
+		}
+		b.Until("they have shares again", 2*soon, func() bool { return sum(alone) > int64(len(alone))*floorConnect })
+	}
+	for _, n := range b.Nodes[:5] {
+		apart(n)
+	}
+	apart(b.Nodes[1], b.Nodes[3])
+	b.over(t, 160)
+}
+
 // TestLateAnswers: answers to one node come later than its lease is long. It lives on its floors; what it was granted and
 // never used goes to the others.
 func TestLateAnswers(t *testing.T) {
@@ -379,6 +411,23 @@
 	b.over(t, 160)
 }
 
+// TestMostForget: seats keep nothing on disk, and two of three start anew at once. The third lets go of a group that can never
+// decide again; one is founded anew, and grants only once all that the old one may have granted has run out.
+func TestMostForget(t *testing.T) {
+	beside(t)
+	plan := fleetPlan(3, 3, 2)
+	plan.Disk = false
+	b := begin(t, plan, 3)
+	for _, n := range b.Nodes[:2] {
+		n.Kill()
+	}
+	for _, n := range b.Nodes[:2] {
+		n.Start()
+	}
+	t.Logf("in use again after %v", b.Until("the whole is in use", 3*soon, func() bool { return sum(b.Nodes) >= shared(3)-3 }))
+	b.over(t, 160)
+}
+
 // TestClocks: clocks that differ by the stated margin, either way and by an hour, keep the whole.
 func TestClocks(t *testing.T) {
 	beside(t)
--- a/internal/rig/schedule_test.go
+++ b/internal/rig/schedule_test.go
@@ -12,7 +12,7 @@
 	"fernrail/internal/rig"
 )
 
-// TestSchedules: faults by chance, several at a time, on five nodes of which three have seats. The whole holds throughout, and
+// TestSchedules: faults by chance, several at a time, on five nodes of which three have seats, or nine of which five have. The whole holds throughout, and
 // once all is healed the whole is in use again. FERNRAIL_RIG_SEED=N tries another seed, FERNRAIL_RIG_SCHEDULE=FILE plays what a
 // failure printed, FERNRAIL_RIG_SHORTER=1 cuts it down, which takes as many runs as that needs.
 func TestSchedules(t *testing.T) {
@@ -22,7 +22,11 @@
 		}
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			beside(t)
-			s := rig.Draw(seed, 5, 3, 9, 9*time.Second)
+			nodes, seats, faults := 5, 3, 9
+			if seed%2 == 0 {
+				nodes, seats, faults = 9, 5, 14
+			}
+			s := rig.Draw(seed, nodes, seats, faults, 9*time.Second)
 			if path := os.Getenv("FERNRAIL_RIG_SCHEDULE"); path != "" {
 				text, err := os.ReadFile(path)
 				if err == nil {
@@ -33,9 +37,9 @@
 				}
 			}
 			play := func(t *testing.T, s rig.Schedule) {
-				b := begin(t, fleetPlan(5, 3, 2), 5)
+				b := begin(t, fleetPlan(nodes, seats, 2), nodes)
 				b.Play(s)
-				b.Until("the whole is in use again", 3*soon, func() bool { return sum(b.Nodes) >= shared(5)-5 })
+				b.Until("the whole is in use again", 3*soon, func() bool { return sum(b.Nodes) >= shared(nodes)-int64(nodes) })
 				b.over(t, 160)
 			}
 			if os.Getenv("FERNRAIL_RIG_SHORTER") != "" {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -23,6 +23,7 @@
 	Attempts          int64           `json:"attempts"`
 	ExecutorsKnown    int             `json:"executors_known"`
 	ExecutorsExcluded int             `json:"executors_excluded"`
+	Fleet             any             `json:"fleet,omitempty"` // of budgets held with other nodes; nil: there are none
 }
 
 // Line is the figures on one line, without its end.
