What is given back rests: a test on processes that sees it; module tests of shares

Change: TestRests has windows longer than leases and nodes that come one after another. FuzzShares and TestDeniedAgainIsDeclined hold the module to what shares deny, and to an answer long before expiry. One loop in place of two that waited for an upgrade's other process.

--- /dev/null
+++ b/dispatch/shares_test.go
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import "testing"
+
+// fickle allows and denies by chance, between the module's steps; none says what is denied now.
+type fickle struct {
+	*world
+	none [Budgets]bool
+	part float64
+}
+
+func (f *fickle) May(b Budget, _ *Executor, units float64) bool {
+	if !(units > 0) {
+		f.Fatalf("budget %d: %v units", b, units)
+	}
+	return !f.none[b]
+}
+
+func (f *fickle) Part(Budget, *Executor) float64 { return f.part }
+
+// purse is a Door that holds postings against what was allowed as they were decided.
+type purse struct {
+	*fickle
+}
+
+func (p *purse) Post(q *Posting) {
+	cold := p.d.warmth(q.Executor, p.now) < 1
+	if q.Number > 0 && p.none[Again] || p.none[Connect] || cold && p.none[Cold] {
+		p.Fatalf("posting %d is sent, cold: %v, while %v is denied", q.Number, cold, p.none)
+	}
+	if cold != (q.Part > 0) {
+		p.Fatalf("cold: %v, takes %v of the budget", cold, q.Part)
+	}
+	p.world.Post(q)
+}
+
+// FuzzShares: whatever shares allow, the four rules hold, every txn is answered by its expiry, and nothing goes out that they
+// deny. Danger: a txn that waits for a share for ever, or a second way round the check.
+func FuzzShares(f *testing.F) {
+	for seed := range uint64(12) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed uint64) {
+		terms := basicTerms()
+		terms.MayDuplicate, terms.Nodes = seed%2 == 0, 1+int(seed%3)*100
+		terms.FallMultiple = 100 // who keeps the budget is not the module here
+		w := newWorld(t, seed, terms)
+		s := &fickle{world: w, part: w.Float64()}
+		terms.Shares = s
+		w.d = New(terms, seed, &purse{s}, w.now)
+		w.join(4+int(seed%9), true)
+		for range 600 {
+			for b := range s.none {
+				if w.IntN(8) == 0 {
+					s.none[b] = w.IntN(2) == 0
+				}
+			}
+			w.step()
+		}
+		w.finish()
+	})
+}
+
+// TestDeniedAgainIsDeclined: a txn that was turned away and may not go again, since this node's share of second postings is
+// used up, is declined before its expiry with advice to return, and not held until its client goes.
+func TestDeniedAgainIsDeclined(t *testing.T) {
+	terms := basicTerms()
+	w := newWorld(t, 1, terms)
+	s := &fickle{world: w}
+	terms.Shares = s
+	w.d = New(terms, 1, &purse{s}, w.now)
+	w.join(4, false)
+	s.none[Again] = true
+	x := w.arrive(0, 1, 1e8, 20e9)
+	w.end(w.open[0], Full)
+	began := w.now
+	for w.ended[x] == 0 && w.now-began < 20e9 {
+		w.pass(1e7)
+	}
+	if took := w.now - began; len(x.Postings) != 1 || w.ended[x] != 1 || took > 2e9 {
+		t.Errorf("%d postings, %d answers, after %d ms", len(x.Postings), w.ended[x], took/1e6)
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -112,21 +112,16 @@
 
 // meetLater waits for the address at which another process of this node still hears who is there.
 func (f *Fleet) meetLater(ctx context.Context) {
-	tick := time.NewTicker(200 * time.Millisecond)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		if m, err := meet(ctx, f.name, f.plan, f.log); err == nil {
-			f.mu.Lock()
-			f.members = m
-			f.mu.Unlock()
-			return
+	later(ctx, func() bool {
+		m, err := meet(ctx, f.name, f.plan, f.log)
+		if err != nil {
+			return false
 		}
-	}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.members = m
+		return true
+	})
 }
 
 // sit takes the node's seat.
@@ -159,8 +154,8 @@
 	return nil
 }
 
-// sitLater waits for the seat's door.
-func (f *Fleet) sitLater(ctx context.Context) {
+// later tries until it is done, or the fleet ends.
+func later(ctx context.Context, try func() (done bool)) {
 	tick := time.NewTicker(200 * time.Millisecond)
 	defer tick.Stop()
 	for {
@@ -168,10 +163,19 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			if try() {
+				return
+			}
 		}
+	}
+}
+
+// sitLater waits for the seat's door.
+func (f *Fleet) sitLater(ctx context.Context) {
+	later(ctx, func() bool {
 		l, err := net.Listen("tcp", f.plan.Listen)
 		if errors.Is(err, syscall.EADDRINUSE) {
-			continue
+			return false
 		}
 		if err == nil {
 			err = f.sit(ctx, l)
@@ -179,8 +183,8 @@
 		if err != nil {
 			f.log.Error().Err(err).Msg("the seat is not taken")
 		}
-		return
-	}
+		return true
+	})
 }
 
 // Own says whether the node's floors are this process's, or another's.
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -592,6 +592,40 @@
 	b.over(t, 160)
 }
 
+// TestRests: windows that are longer than leases. What one node used and gave back is used by another only once its window is
+// past, though shares move within half a second. Without rests this broke the whole, and no other test here did.
+func TestRests(t *testing.T) {
+	beside(t)
+	const window = 2 * time.Second
+	plan := fleetPlan(3, 3, 1)
+	plan.Fleet["most"] = 3
+	plan.Fleet["budgets"].(map[string]any)["connect"] = map[string]any{"whole": wholeConnect, "floor": 1, "window_ms": window.Milliseconds()}
+	r := rig.New(t, plan)
+	for _, n := range r.Nodes {
+		n.Start()
+	}
+	for _, n := range r.Nodes {
+		n.Ready()
+	}
+	// Each that comes wants as much as those before, who have used what they now give back.
+	var ends []func() map[int]int
+	for i, n := range r.Nodes {
+		ends = append(ends, n.Load("job", "/look?close=1", 8, 8*time.Millisecond, 300*time.Millisecond))
+		r.Until("it has its share", 4*soon, func() bool { return mine(n) >= wholeConnect/int64(i+1)-4 })
+		from := r.Now()
+		r.Until("it has used it", soon, func() bool { return r.Now()-from > int64(window)/3 })
+	}
+	for _, end := range ends {
+		end()
+	}
+	accepted, _ := r.Executors[0].Noted()
+	most := rig.Most(accepted, window-jitter)
+	t.Logf("%d connections, at most %d in a window", len(accepted), most)
+	if most > wholeConnect || len(accepted) < wholeConnect {
+		t.Errorf("%d connections, at most %d in a window, the whole is %d", len(accepted), most, wholeConnect)
+	}
+}
+
 // TestAgain: executors that turn everything away draw second postings from all nodes; together they are no more than the
 // whole, or than a share of first ones. Without a fleet the same traffic sends far more: the count can fail.
 func TestAgain(t *testing.T) {
