A group founded anew is heard by nodes that outlived the old one, and its silence is tested

Looking for what would see it showed a fault: epochs of a new group begin low, and a node that had heard a higher one of the old group took no answer for good (holder.go Take); its floors were all it had until a restart.

Change: groups have a name by chance; epochs are compared within one. TestFoundedAnew: a node without a seat is cut off with most of the whole while all seats lose their memory; TestAnotherGroup.

--- a/internal/fleet/budget/books.go
+++ b/internal/fleet/budget/books.go
@@ -111,6 +111,7 @@
 // Books are what was granted, the same at every seat. They change by Apply alone.
 type Books struct {
 	Pact    Pact                `json:"pact"`
+	Group   string              `json:"group"` // by chance, as the books were begun
 	Epoch   uint64              `json:"epoch"` // of the grantor that reigns
 	Budgets map[string]*Account `json:"budgets"`
 	Holders map[string]*Holding `json:"holders"`
@@ -150,6 +151,7 @@
 
 // Answer is what becomes of a request: what the holder may use until the lease has run out, counted from when it sent it.
 type Answer struct {
+	Group  string           `json:"group"` // epochs are counted in each
 	Epoch  uint64           `json:"epoch"`
 	Seq    uint64           `json:"seq"`
 	Lease  int64            `json:"lease"`
@@ -171,6 +173,7 @@
 	Epoch   uint64           `json:"epoch"`
 	Reign   bool             `json:"reign,omitempty"` // a grantor begins; its epoch is above all before it
 	Pact    *Pact            `json:"pact,omitempty"`  // with the first reign
+	Group   string           `json:"group,omitempty"` // the same
 	Asks    []Ask            `json:"asks,omitempty"`
 	Expired []Expiry         `json:"expired,omitempty"`
 	Rested  map[string]int64 `json:"rested,omitempty"` // by budget: all rests up to that number are over
@@ -191,6 +194,7 @@
 		}
 		if b.Epoch == 0 && e.Pact != nil {
 			b.found(e.Pact)
+			b.Group = e.Group
 		}
 		b.Epoch = e.Epoch
 		return nil, nil
@@ -227,7 +231,7 @@
 	answers = make([]*Answer, len(e.Asks))
 	for i := range e.Asks {
 		if b.hear(&e.Asks[i]) {
-			answers[i] = &Answer{Epoch: b.Epoch, Seq: e.Asks[i].Seq, Lease: b.Pact.Lease, Peers: len(b.Holders), Units: map[string]int64{}, Target: map[string]int64{}, Whole: map[string]int64{}}
+			answers[i] = &Answer{Group: b.Group, Epoch: b.Epoch, Seq: e.Asks[i].Seq, Lease: b.Pact.Lease, Peers: len(b.Holders), Units: map[string]int64{}, Target: map[string]int64{}, Whole: map[string]int64{}}
 		}
 	}
 	b.follow()
--- a/internal/fleet/budget/budget_test.go
+++ b/internal/fleet/budget/budget_test.go
@@ -140,6 +140,23 @@
 	}
 }
 
+// TestAnotherGroup: a holder takes answers of a group founded anew, whose epochs are low again, and none of an older epoch of
+// its own group.
+func TestAnotherGroup(t *testing.T) {
+	pact := &Pact{Most: 1, Lease: 1000, Budgets: map[string]Terms{"b": {Whole: 9, Step: 1, Window: 1}}}
+	h := NewHolder("n", "p", pact, 0)
+	for i, c := range []struct {
+		group string
+		epoch uint64
+		taken bool
+	}{{"x", 7, true}, {"x", 6, false}, {"y", 2, true}, {"y", 1, false}, {"y", 2, true}} {
+		a := h.Ask(nil, int64(i))
+		if got := h.Take(&Answer{Group: c.group, Epoch: c.epoch, Seq: a.Seq, Lease: 1000, At: int64(i)}, int64(i)); got != c.taken {
+			t.Errorf("epoch %d of %s: taken %v", c.epoch, c.group, got)
+		}
+	}
+}
+
 // TestMeter: what counts is the moment of sending, by a sliding window; what was reserved and never left gives its room back.
 func TestMeter(t *testing.T) {
 	pact := &Pact{Budgets: map[string]Terms{"b": {Window: 99}}}
--- a/internal/fleet/budget/holder.go
+++ b/internal/fleet/budget/holder.go
@@ -12,6 +12,7 @@
 	bare       bool  // the floors are another process's
 	refused    bool  // its pact is not the fleet's: it has nothing
 	seq, epoch uint64
+	group      string           // that the epoch is of
 	sent       int64            // the latest request
 	open       bool             // it has no answer yet
 	until      int64            // when the lease runs out
@@ -81,13 +82,15 @@
 // Take accepts the answer to the latest request, and no other.
 // Danger: an answer that comes late or twice tells of units that a later request gave back.
 func (h *Holder) Take(a *Answer, now int64) bool {
-	if !h.open || a.Seq != h.seq || a.Epoch < h.epoch {
+	// Danger: a group founded anew counts its epochs from the first on; a node that outlived the old one would take no
+	// answer of it for good.
+	if !h.open || a.Seq != h.seq || a.Epoch < h.epoch && a.Group == h.group {
 		return false
 	}
-	if h.open = false; a.Epoch != h.epoch {
+	if h.open = false; a.Epoch != h.epoch || a.Group != h.group {
 		h.base, h.rate = meeting{h.sent, now, a.At}, 0
 	}
-	h.epoch = a.Epoch
+	h.epoch, h.group = a.Epoch, a.Group
 	// Danger: a clock slower than was agreed has a lease used after it was granted to another. Whoever can tell that
 	// its own is, by what calls prove, uses none.
 	if rate, off := h.measure(meeting{h.sent, now, a.At}); off {
--- a/internal/fleet/seat.go
+++ b/internal/fleet/seat.go
@@ -337,7 +337,7 @@
 		return err
 	}
 	epoch := s.raft.CurrentTerm()
-	if _, err := s.commit(&budget.Entry{Reign: true, Epoch: epoch, Pact: &s.plan.Pact}); err != nil {
+	if _, err := s.commit(&budget.Entry{Reign: true, Epoch: epoch, Pact: &s.plan.Pact, Group: identity()}); err != nil {
 		return err
 	}
 	s.books.mu.Lock()
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -168,6 +168,7 @@
 }
 
 func begin(t *testing.T, plan rig.Plan, start int) *busy {
+	most := int64(plan.Fleet["most"].(int))
 	b := &busy{Rig: rig.New(t, plan)}
 	for _, n := range b.Nodes[:start] {
 		n.Start()
@@ -177,7 +178,9 @@
 		b.load(n)
 	}
 	// All of it is out, so that nothing can be had but from another.
-	b.Until("a share for each", 20*time.Second, func() bool { return sum(b.Nodes[:start]) >= shared(start)-int64(start) })
+	b.Until("a share for each", 20*time.Second, func() bool {
+		return sum(b.Nodes[:start]) >= wholeConnect-reserveConnect-floorConnect*(most-int64(start))-int64(start)
+	})
 	return b
 }
 
@@ -428,6 +431,42 @@
 	b.over(t, 160)
 }
 
+// TestFoundedAnew: all seats lose all they knew at once, while a node without a seat is cut off and goes on with its lease. The
+// group that is founded anew grants nothing until that has run out; healed, the node has a share of the new group's.
+func TestFoundedAnew(t *testing.T) {
+	beside(t)
+	plan := fleetPlan(4, 3, 1)
+	plan.Disk, plan.Fleet["lease_ms"], plan.Fleet["most"] = false, 6000, 4
+	b := &busy{Rig: rig.New(t, plan)}
+	apart, seats := b.Nodes[3], b.Nodes[:3]
+	for _, n := range b.Nodes {
+		n.Start()
+	}
+	for _, n := range b.Nodes {
+		n.Ready()
+	}
+	b.load(apart)
+	b.Until("it has most of the whole", 4*soon, func() bool { return mine(apart) >= wholeConnect*3/4 })
+	cut([]*rig.Node{apart}, seats, rig.There, rig.Back)
+	for _, n := range seats {
+		n.Kill()
+	}
+	for _, n := range seats {
+		n.Start()
+	}
+	for _, n := range seats {
+		b.load(n)
+	}
+	t.Logf("in use again after %v", b.Until("the seats' nodes have the whole", 4*soon, func() bool {
+		return sum(seats) >= wholeConnect-reserveConnect-floorConnect-3
+	}))
+	for seat := range 3 {
+		apart.Relay(seat).Heal()
+	}
+	b.Until("it has a share again", soon, func() bool { return mine(apart) > floorConnect })
+	b.over(t, 160)
+}
+
 // TestClocks: clocks that differ by the stated margin, either way and by an hour, keep the whole.
 func TestClocks(t *testing.T) {
 	beside(t)
