Late answers and old calls of a node that is cut off: two variants that no test on processes saw

Change: the node holds most of the whole and is cut off in the moment that matters: once its last late answer has come, and as its oldest calls come again. Relays keep the first calls as well as the latest.

--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -437,16 +437,7 @@
 	beside(t)
 	plan := fleetPlan(4, 3, 1)
 	plan.Disk, plan.Fleet["lease_ms"], plan.Fleet["most"] = false, 6000, 4
-	b := &busy{Rig: rig.New(t, plan)}
-	apart, seats := b.Nodes[3], b.Nodes[:3]
-	for _, n := range b.Nodes {
-		n.Start()
-	}
-	for _, n := range b.Nodes {
-		n.Ready()
-	}
-	b.load(apart)
-	b.Until("it has most of the whole", 4*soon, func() bool { return mine(apart) >= wholeConnect*3/4 })
+	b, apart, seats := hog(t, plan)
 	cut([]*rig.Node{apart}, seats, rig.There, rig.Back)
 	for _, n := range seats {
 		n.Kill()
@@ -871,6 +862,84 @@
 	b.over(t, 160)
 }
 
+// hog has one node without a seat hold most of the whole, with nobody else wanting any.
+func hog(t *testing.T, plan rig.Plan) (b *busy, one *rig.Node, rest []*rig.Node) {
+	t.Helper()
+	b = &busy{Rig: rig.New(t, plan)}
+	one, rest = b.Nodes[3], b.Nodes[:3]
+	for _, n := range b.Nodes {
+		n.Start()
+	}
+	for _, n := range b.Nodes {
+		n.Ready()
+	}
+	b.load(one)
+	b.Until("it has most of the whole", 4*soon, func() bool { return mine(one) >= wholeConnect*3/4 })
+	return b, one, rest
+}
+
+// TestOldCallsOfACutOffNode: a node that holds most of the whole is cut off, and calls of its from long before come again. They
+// tell of a time when it held nothing; what it holds now is not granted to others for that.
+func TestOldCallsOfACutOffNode(t *testing.T) {
+	beside(t)
+	plan := fleetPlan(4, 3, 1)
+	plan.Fleet["most"] = 4
+	b, one, rest := hog(t, plan)
+	for _, n := range rest {
+		b.load(n)
+	}
+	for seat := range 3 {
+		one.Relay(seat).Cut(rig.There)
+		one.Relay(seat).Cut(rig.Back)
+	}
+	answered := 0
+	for seat := range 3 {
+		answered += one.Relay(seat).Replay()
+	}
+	b.Until("the rest have the whole", soon, func() bool { return sum(rest) >= wholeConnect-reserveConnect-floorConnect-3 })
+	for seat := range 3 {
+		one.Relay(seat).Heal()
+	}
+	if answered < 5 {
+		t.Errorf("%d calls came again: too few to have tried it", answered)
+	}
+	b.over(t, 160)
+}
+
+// TestAnswersThatTakeLong: answers to a node that holds most of the whole take nearly as long as it waits for them, and then it
+// is cut off. Its lease counts from its requests: when others are granted what it held it uses that no more.
+func TestAnswersThatTakeLong(t *testing.T) {
+	beside(t)
+	const window = 400 * time.Millisecond
+	plan := fleetPlan(4, 3, 1)
+	plan.Fleet["most"], plan.Fleet["lease_ms"], plan.Fleet["margin"] = 4, 3000, 0.01
+	plan.Fleet["budgets"].(map[string]any)["connect"] = map[string]any{"whole": wholeConnect, "floor": floorConnect, "reserve": reserveConnect, "window_ms": window.Milliseconds()}
+	b, one, rest := hog(t, plan)
+	for seat := range 3 {
+		one.Relay(seat).Delay(rig.Back, 900*time.Millisecond)
+	}
+	from := b.Now()
+	b.Until("a lease has passed under the delay", soon, func() bool { return b.Now()-from > int64(3*time.Second) && mine(one) >= wholeConnect/2 })
+	for seat := range 3 {
+		one.Relay(seat).Cut(rig.There) // its last answer still comes
+	}
+	from = b.Now()
+	b.Until("its last answer has come", soon, func() bool { return b.Now()-from > int64(time.Second) })
+	for _, n := range rest {
+		b.load(n)
+	}
+	b.Until("the rest have the whole", 2*soon, func() bool { return sum(rest) >= wholeConnect-reserveConnect-floorConnect-3 })
+	for _, end := range b.ends {
+		end()
+	}
+	accepted, _ := b.Executors[0].Noted()
+	most := rig.Most(accepted, window-jitter)
+	t.Logf("%d connections, at most %d in a window", len(accepted), most)
+	if most > wholeConnect {
+		t.Errorf("at most %d in a window, the whole is %d", most, wholeConnect)
+	}
+}
+
 // TestStrangers: what comes to a seat's door and is not of this fleet and version, or lies, costs bounded work and gets
 // nothing; shares go on.
 func TestStrangers(t *testing.T) {
--- a/internal/rig/relay.go
+++ b/internal/rig/relay.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -22,7 +23,7 @@
 	moved  sync.Cond
 	over   bool
 	chance *rand.Rand
-	kept   [][]byte // the latest calls that went there
+	kept   [][]byte // the first calls that went there, and the latest
 }
 
 type way struct {
@@ -246,17 +247,20 @@
 	if bytes.HasPrefix(b, []byte("POST ")) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.kept = append(r.kept[max(len(r.kept)-mostKept+1, 0):], bytes.Clone(b))
+		if len(r.kept) >= mostKept {
+			r.kept = slices.Delete(r.kept, mostKept/2, mostKept/2+1)
+		}
+		r.kept = append(r.kept, bytes.Clone(b))
 	}
 }
 
-// Replay brings the calls that went there lately once more, each on a connection of its own, and gives how many were answered.
+// Replay brings calls that went there, the first and the latest, once more though the way be cut, each on a connection of its own, and gives how many were answered.
 func (r *Relay) Replay() (answered int) {
 	if r == nil {
 		return 0
 	}
 	r.mu.Lock()
-	kept := r.kept
+	kept := slices.Clone(r.kept)
 	r.mu.Unlock()
 	for _, call := range kept {
 		c, err := net.DialTimeout("tcp", r.to, time.Second)
