--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -350,6 +350,8 @@
 	n.mu.Lock()
 	old, ended := n.process, n.ended
 	n.mu.Unlock()
+	// Danger: a test that ends before the second process serves; the first is nobody's by then, and stays for good.
+	n.rig.Cleanup(func() { old.Process.Kill() })
 	lines := strings.Count(n.Log(), `"node serves"`)
 	n.Admin = n.rig.free() // the first one's is still its own
 	n.Start()
