A tenant's jobs in flight and calls for the list as fleet budgets

Cause: two of the five budgets that the issue names were missing; a call for the list that waits for its share could break the third rule, since news then lies longer than AskWithin (dispatch.go: call, ListFailed; nothing bounded a wait).

Change: `jobs` counts what is out by tenant, given back when the executor has answered, else after a window of the longest expiry. A node of another pact stays refused until it is granted something (before, a seat out of reach gave it its floors back).

--- a/cmd/fernrail/purse.go
+++ b/cmd/fernrail/purse.go
@@ -17,12 +17,11 @@
 }
 
 // names are the module's budgets in the configuration's words.
-var names = [dispatch.Budgets]string{dispatch.Again: config.Again, dispatch.Connect: config.Connect, dispatch.Cold: config.Cold}
+var names = [dispatch.Budgets]string{dispatch.Again: config.Again, dispatch.Connect: config.Connect, dispatch.Cold: config.Cold,
+	dispatch.Jobs: config.Jobs, dispatch.Calls: config.Calls}
 
 func (p *purse) May(b dispatch.Budget, key string, units float64) bool {
 	switch b {
-	case dispatch.Again:
-		key = ""
 	case dispatch.Cold:
 		units *= p.share.Whole(config.Cold)
 	case dispatch.Connect:
@@ -36,18 +35,29 @@
 
 func (p *purse) Part(b dispatch.Budget, key string) float64 { return p.share.Part(names[b], key) }
 
-func (p *purse) Charge(executor string, again bool, cold float64) routing.Charge {
+func (p *purse) Charge(executor, tenant string, again bool, cold float64) routing.Charge {
 	c := &fleet.Charge{}
 	if !again {
 		c.First(p.share)
 	}
-	if again && !c.Add(p.share, config.Again, "", 1) || cold > 0 && !c.Add(p.share, config.Cold, executor, cold*p.share.Whole(config.Cold)) {
-		c.Void()
+	if !c.Add(p.share, config.Jobs, tenant, 1) || again && !c.Add(p.share, config.Again, "", 1) || cold > 0 && !c.Add(p.share, config.Cold, executor, cold*p.share.Whole(config.Cold)) {
+		c.End(false)
 		return nil
 	}
 	return c
 }
 
+func (p *purse) Call(overdue bool) bool {
+	c := &fleet.Charge{}
+	if c.Add(p.share, config.Calls, "", 1) && c.Send() {
+		return true
+	}
+	if overdue {
+		p.share.Beyond(config.Calls, "", 1)
+	}
+	return overdue
+}
+
 // dial asks for one new connection, at the moment at which it would be opened.
 func (p *purse) dial(address string) bool {
 	c := &fleet.Charge{}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -52,7 +52,7 @@
 type Dispatcher struct {
 	terms              *Terms
 	door               Door
-	born, now          int64
+	born, now, by      int64 // by: when a call for the list goes out at the latest
 	toldAt, fresh      int64 // when an executor last told of its room; how long that counts
 	failed, counted    int   // calls for the list since one succeeded; txns counted in things
 	chance             *rand.Rand
@@ -74,13 +74,14 @@
 }
 
 func New(terms *Terms, seed uint64, door Door, now int64) *Dispatcher {
-	d := &Dispatcher{terms: terms, door: door, born: now, now: now, chance: rand.New(rand.NewPCG(seed, 1)),
+	d := &Dispatcher{terms: terms, door: door, born: now, now: now, by: now + terms.AskWithin,
+		chance: rand.New(rand.NewPCG(seed, 1)),
 		recent: map[family][]last{}, things: map[uint64]*thing{}, models: map[int]*model{},
 		starts: map[bool]*ledger{true: {}, false: {}}, cures: make([]ledger, len(terms.Schemes)),
 		runs:    make([]spread, len(terms.Schemes)),
 		tenants: make([]ledger, len(terms.Tenants)), schemes: make([]ledger, len(terms.Schemes))}
 	if terms.Subscribe {
-		door.Watch(true)
+		d.Ask()
 	}
 	return d
 }
@@ -126,16 +127,35 @@
 // Follow asks for news of the list for the first time; where there is a list to go by, at a time by chance.
 // Danger: nodes that start or fail together ask together; a service that falls behind serves none of them.
 func (d *Dispatcher) Follow() {
-	d.call(d.quiet() * d.chance.Float64() * float64(min(len(d.fleet), 1)))
+	d.call(d.quiet()*d.chance.Float64()*float64(min(len(d.fleet), 1)), d.quiet())
 }
 
 // ListFailed takes the failure of a call for the list; the next one waits, for the same danger.
 func (d *Dispatcher) ListFailed() {
 	d.failed = min(d.failed+1, 2)
-	d.call(float64(d.terms.AskAgain) / 4 * float64(d.failed) * (0.5 + d.chance.Float64())) // 3/4 at most
+	part := float64(d.terms.AskAgain) / 4
+	d.call(part*float64(d.failed)*(0.5+d.chance.Float64()), 3*part)
 }
 
-func (d *Dispatcher) call(after float64) { d.door.Alarm(int64(after), func() { d.door.Watch(true) }) }
+// ListAsked ends a call that brought something, where nodes hold calls together; the next goes in its turn.
+func (d *Dispatcher) ListAsked() { d.call(0, d.quiet()) }
+
+func (d *Dispatcher) call(after, by float64) {
+	d.by = d.now + int64(by)
+	d.door.Alarm(int64(after), d.Ask)
+}
+
+// Ask has the list asked for, or waits for this node's share.
+func (d *Dispatcher) Ask() {
+	if d.terms.Shares == nil || d.Overdue() || d.terms.Shares.May(Calls, nil, nil, 1) {
+		d.door.Watch(true)
+	} else {
+		d.door.Alarm(d.terms.Tick, d.Ask)
+	}
+}
+
+// Overdue says that a call goes out whatever shares say. Danger: work for what drained, as no news is heard.
+func (d *Dispatcher) Overdue() bool { return d.now >= d.by }
 
 func (d *Dispatcher) Arrive(t *Txn) {
 	t.Expiry, t.arrived, t.over = d.till(t), d.now, len(d.terms.Tenants) > 0 && d.overShare(t)
@@ -210,8 +230,6 @@
 	return 1 + d.terms.WorstScheme*all/max(own.asked, 1e-9)
 }
 
-func (t *Txn) unit() float64 { return float64(cmp.Or(t.Hint, 1e9)) }
-
 // running is how long the txn is expected to run, at quantile q.
 func (d *Dispatcher) running(t *Txn, q float64) int64 {
 	return max(int64(t.unit()*d.runs[t.Scheme.Index].at(q, float64(t.Scheme.SlaTime)/t.unit())), 1e6)
@@ -224,7 +242,7 @@
 	}
 	// Danger: executors that never answer probes. What has heard nothing for some rounds goes out blindly.
 	asking := d.terms.Probes && !d.terms.Live && (t.rounds < asks || d.toldAt >= t.arrived)
-	if len(t.Postings) >= d.terms.MostPostings || anchor(t) != nil && d.spanOver(t) {
+	if len(t.Postings) >= d.terms.MostPostings || t.anchor() != nil && d.spanOver(t) {
 		d.finish(t)
 	} else if drawn := d.draw(t, asks); len(drawn) == 0 {
 		// Danger: in a jam a node spends its processor time on looking for room that is not there.
@@ -288,18 +306,10 @@
 	return e.toldAt > 0 && d.now-e.toldAt < d.fresh && (e.free < t.Slots || e.memory < t.Memory)
 }
 
-// anchor is the first posting that may have run or still may.
-func anchor(t *Txn) *Posting {
-	if i := slices.IndexFunc(t.Postings, func(p *Posting) bool { return !p.unrun }); i >= 0 {
-		return t.Postings[i]
-	}
-	return nil
-}
-
 // spanOver says whether a txn that may have run must not go again at all.
 func (d *Dispatcher) spanOver(t *Txn) bool {
 	return t.Scheme.Effect == OnceOnly ||
-		t.Scheme.Effect == Referenced && d.now-anchor(t).sent >= t.Scheme.Memory-d.terms.Tick
+		t.Scheme.Effect == Referenced && d.now-t.anchor().sent >= t.Scheme.Memory-d.terms.Tick
 }
 
 // allowed says whether the rules let the txn go to the executor now.
@@ -313,7 +323,7 @@
 			return false
 		}
 	}
-	if a := anchor(t); a != nil {
+	if a := t.anchor(); a != nil {
 		// Danger: an effect twice. Only the group that holds the mark drops the repeat, and not for ever.
 		s, f := t.Scheme, a.Executor
 		if d.spanOver(t) || s.Effect == Referenced &&
@@ -322,20 +332,17 @@
 		}
 	}
 	// Danger: what all nodes hold together, used beyond this one's share of it.
-	if len(t.Postings) > 0 && !d.terms.may(Again, e, 1) || !d.terms.may(Connect, e, 1) {
-		return false
-	}
-	return d.warmEnough(t, e)
+	return d.terms.mayPost(t, e) && d.warmEnough(t, e)
 }
 
 // warmEnough keeps this node's part of a cold executor's budget, by all that was sent, refused or not.
 // Danger: one pushed over by all nodes together, or by a new node that knows nothing of what it sent before.
 func (d *Dispatcher) warmEnough(t *Txn, e *Executor) bool {
-	if d.warmth(e, d.now) == 1 {
+	if d.terms.warmth(e, d.now) == 1 {
 		return true
 	}
 	if d.terms.Shares != nil { // it counts as it is sent
-		return d.terms.Shares.May(Cold, e, t.size/d.bears(e, d.now-d.terms.Fall, 1))
+		return d.terms.Shares.May(Cold, e, t, t.size/d.bears(e, d.now-d.terms.Fall, 1))
 	}
 	part, since, turn, _ := d.part(e)
 	sum := e.sends.sum(t.size, since)
@@ -345,7 +352,7 @@
 // bears is a part of the work that all nodes may send a cold executor in a window, by its warmth at a time.
 func (d *Dispatcher) bears(e *Executor, at int64, parts float64) float64 {
 	all := safety * d.terms.FallMultiple * float64(d.terms.Fall) * max(e.model.slots, 1)
-	return all * (d.warmth(e, at) / parts)
+	return all * (d.terms.warmth(e, at) / parts)
 }
 
 // part is what this node may send a cold executor, since when, whether now, and how many groups take turns.
@@ -362,15 +369,6 @@
 	return all / float64(members), since, (n+int64(d.terms.Me)+e.since/1e6)%groups == 0, float64(groups)
 }
 
-// warmth is the share of its capacity that an executor has at least, at a time; its stamp may be too early.
-func (d *Dispatcher) warmth(e *Executor, at int64) float64 {
-	age := float64(at - e.since - d.terms.StampError)
-	if e.since == 0 || age >= float64(d.terms.Cold) {
-		return 1
-	}
-	return d.terms.ColdShare + (1-d.terms.ColdShare)*max(age, 0)/float64(d.terms.Cold)
-}
-
 // health is H, drifted back towards 1 up to now.
 func (d *Dispatcher) health(e *Executor) float64 {
 	// Danger: nearly all executors are well; working out a drift for each at every draw is the dearest step.
@@ -388,7 +386,7 @@
 	// Danger: one of many nodes meets most executors seldom or never; until then their kind's mean stands in.
 	score := (e.model.scores.earned + unscored) / (e.model.scores.asked + 1)
 	score = (float64(e.sum)/topScore + score*kindScores) / (float64(e.pooled) + kindScores)
-	if warmth := d.warmth(e, d.now); warmth < 1 {
+	if warmth := d.terms.warmth(e, d.now); warmth < 1 {
 		_, _, _, groups := d.part(e) // seldom in turn, it is taken as much likelier then
 		score *= warmth * d.terms.oftener(e, groups)
 	}
@@ -465,7 +463,7 @@
 		}
 		// One that was prompt and has a connection open still is likelier to have room, without a handshake.
 		step := 1.0
-		if e.busy == 0 && e.limit >= 1 && (d.now < e.keptTill || d.warmth(e, d.now) < 1) {
+		if e.busy == 0 && e.limit >= 1 && (d.now < e.keptTill || d.terms.warmth(e, d.now) < 1) {
 			step = 0
 		} else if e.busy >= margin+mean {
 			step = 2
@@ -494,7 +492,7 @@
 			e.wait /= leave
 		}
 		// Danger: a few nodes at a time may send to a cold one; by key none of them ever would.
-		if d.warmth(e, d.now) < 1 {
+		if d.terms.warmth(e, d.now) < 1 {
 			e.wait = 0
 		} else if !roam && e.zone != d.terms.Zone {
 			e.wait += 1e9
@@ -542,7 +540,7 @@
 	p := &Posting{Txn: t, Executor: e, Number: len(t.Postings), Open: true, sent: d.now}
 	t.Postings = append(t.Postings, p)
 	e.busy, d.busy, t.thing.busy, t.live = e.busy+t.Slots, d.busy+t.Slots, t.thing.busy+t.Slots, t.live+1
-	if d.warmth(e, d.now) < 1 {
+	if d.terms.warmth(e, d.now) < 1 {
 		e.sends = e.sends.add(d.now, t.size, d.terms.Fall)
 		p.Part = t.size / d.bears(e, d.now-d.terms.Fall, 1)
 	}
@@ -794,7 +792,8 @@
 	}
 	d.Left(t)
 	// Danger: a decline tells the client that trying again is harmless; where it might not be, reverse.
-	if e := t.Scheme.Effect; anchor(t) == nil || e == Repeatable || e != OnceOnly && t.Scheme.Reach == ReachAll {
+	s := t.Scheme
+	if t.anchor() == nil || s.Effect == Repeatable || s.Effect == Referenced && s.Reach == ReachAll {
 		d.door.Decline(t, d.terms.MaxReturn)
 	} else {
 		d.door.Reverse(t)
--- a/dispatch/recovery_test.go
+++ b/dispatch/recovery_test.go
@@ -250,7 +250,7 @@
 	for seed := range uint64(4) {
 		terms := townTerms()
 		if seed > 1 {
-			terms.Tenants, terms.OverValue = []*Tenant{{0.375}, {0.25}, {0.375}}, 1
+			terms.Tenants, terms.OverValue = []*Tenant{{Share: 0.375}, {Share: 0.25}, {Share: 0.375}}, 1
 		}
 		terms.Schemes[0].SlaTime, terms.Schemes[0].Expiry = 8e8, 8e9
 		h := newTown(seed, 5, 16, 6, terms)
--- a/dispatch/shares_test.go
+++ b/dispatch/shares_test.go
@@ -11,7 +11,7 @@
 	part float64
 }
 
-func (f *fickle) May(b Budget, _ *Executor, units float64) bool {
+func (f *fickle) May(b Budget, _ *Executor, _ *Txn, units float64) bool {
 	if !(units > 0) {
 		f.Fatalf("budget %d: %v units", b, units)
 	}
@@ -26,8 +26,8 @@
 }
 
 func (p *purse) Post(q *Posting) {
-	cold := p.d.warmth(q.Executor, p.now) < 1
-	if q.Number > 0 && p.none[Again] || p.none[Connect] || cold && p.none[Cold] {
+	cold := p.d.terms.warmth(q.Executor, p.now) < 1
+	if q.Number > 0 && p.none[Again] || p.none[Connect] || p.none[Jobs] || cold && p.none[Cold] {
 		p.Fatalf("posting %d is sent, cold: %v, while %v is denied", q.Number, cold, p.none)
 	}
 	if cold != (q.Part > 0) {
@@ -36,6 +36,48 @@
 	p.world.Post(q)
 }
 
+// TestCallsWaitForTheirShare: a call for the list that has no share waits for one, and goes out without when news would lie longer
+// than the rules allow. Danger: work for what drained, since no share ever came; or all nodes calling at once.
+func TestCallsWaitForTheirShare(t *testing.T) {
+	terms := basicTerms()
+	terms.AskWithin, terms.AskAgain, terms.Grace = 1e9, 1e9, 0
+	w := newWorld(t, 1, terms)
+	s := &fickle{world: w}
+	door := &watches{fickle: s}
+	terms.Shares = s
+	w.d = New(terms, 1, door, w.now)
+	w.join(4, false)
+	for _, step := range []struct {
+		call func()
+		most int64
+	}{{w.d.ListAsked, 1e9}, {w.d.ListFailed, 75e7}, {w.d.Follow, 1e9}} {
+		for _, denied := range []int64{0, 3e8, 9e9} {
+			s.none[Calls] = denied > 0
+			began, before := w.now, door.calls
+			step.call()
+			for door.calls == before && w.now-began < 2e9 {
+				w.pass(terms.Tick)
+				s.none[Calls] = w.now-began < denied
+			}
+			took := w.now - began
+			if denied < step.most && took < denied || took > step.most+2*terms.Tick || denied > step.most && took < step.most {
+				t.Errorf("denied for %d ms, called after %d, at most %d", denied/1e6, took/1e6, step.most/1e6)
+			}
+			if w.pass(2e9); door.calls != before+1 {
+				t.Errorf("%d calls for one", door.calls-before)
+			}
+		}
+	}
+}
+
+// watches counts calls for the list.
+type watches struct {
+	*fickle
+	calls int
+}
+
+func (w *watches) Watch(bool) { w.calls++ }
+
 // FuzzShares: whatever shares allow, the four rules hold, every txn is answered by its expiry, and nothing goes out that they
 // deny. Danger: a txn that waits for a share for ever, or a second way round the check.
 func FuzzShares(f *testing.F) {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -42,6 +43,7 @@
 
 // Tenant is one customer with its share of the service.
 type Tenant struct {
+	Tag   string // the door's own name of it
 	Share float64
 }
 
@@ -89,13 +91,15 @@
 	Again   Budget = iota // second and later postings
 	Connect               // new connections to an executor
 	Cold                  // the work that a cold executor bears in a window, as a part of it
+	Jobs                  // postings of one tenant that are out
+	Calls                 // for the list
 	Budgets
 )
 
-// Shares tells whether this node may use so much more of a budget now, for an executor where each has its own. It is a
-// read: what counts is taken at the moment of sending.
+// Shares tells whether this node may use so much more of a budget now, for an executor or a txn's tenant where each has its
+// own. It is a read: what counts is taken at the moment of sending.
 type Shares interface {
-	May(b Budget, e *Executor, units float64) bool
+	May(b Budget, e *Executor, t *Txn, units float64) bool
 	// Part is what this node has of all there is.
 	Part(b Budget, e *Executor) float64
 }
@@ -117,13 +121,27 @@
 	return t.Shares.Part(Cold, e) * float64(max(t.Nodes, 1))
 }
 
+// warmth is the share of its capacity that an executor has at least, at a time; its stamp may be too early.
+func (t *Terms) warmth(e *Executor, at int64) float64 {
+	age := float64(at - e.since - t.StampError)
+	if e.since == 0 || age >= float64(t.Cold) {
+		return 1
+	}
+	return t.ColdShare + (1-t.ColdShare)*max(age, 0)/float64(t.Cold)
+}
+
+// Soon is how long a call for the list can wait at most, after one that brought something or failed.
+func (t *Terms) Soon() int64 { return min(t.AskWithin+t.Grace/2, t.AskAgain/4*3) }
+
 // need says whether some scheme runs on that kind of machine alone.
 func (t *Terms) need(kind int) bool {
 	return slices.ContainsFunc(t.Schemes, func(s *Scheme) bool { return s.Kind == kind })
 }
 
-func (t *Terms) may(b Budget, e *Executor, units float64) bool {
-	return t.Shares == nil || t.Shares.May(b, e, units)
+// mayPost says whether one more posting of a txn to an executor that is warm fits into this node's shares.
+func (t *Terms) mayPost(x *Txn, e *Executor) bool {
+	s := t.Shares
+	return s == nil || (len(x.Postings) == 0 || s.May(Again, e, x, 1)) && s.May(Jobs, e, x, 1) && s.May(Connect, e, x, 1)
 }
 
 // State is what the list says of an executor.
@@ -201,6 +219,16 @@
 	forget       func()    // releases the alarm of its expiry
 }
 
+// anchor is the first posting that may have run or still may.
+func (t *Txn) anchor() *Posting {
+	if i := slices.IndexFunc(t.Postings, func(p *Posting) bool { return !p.unrun }); i >= 0 {
+		return t.Postings[i]
+	}
+	return nil
+}
+
+func (t *Txn) unit() float64 { return float64(cmp.Or(t.Hint, 1e9)) }
+
 // Posting is one sending of a txn to an executor.
 type Posting struct {
 	Txn      *Txn
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -60,7 +60,13 @@
 		"fleet.budgets.cold: miss": func(_, f map[string]any) { delete(budgets(f), "cold") },
 		"fleet.budgets.cold.windo": func(_, f map[string]any) { budgets(f)["cold"].(map[string]any)["window_ms"] = 100 },
 		"fleet.budgets.again.part": func(_, f map[string]any) { budgets(f)["again"].(map[string]any)["parts"] = 4 },
-		"fleet.budgets.cold.parts": func(_, f map[string]any) { budgets(f)["cold"].(map[string]any)["parts"] = 400 },
+		"fleet.budgets.jobs.windo": func(_, f map[string]any) { budgets(f)["jobs"] = map[string]any{"whole": 9, "window_ms": 100} },
+		"fleet.budgets.calls.floo": func(_, f map[string]any) { budgets(f)["calls"] = map[string]any{"whole": 9} },
+		"needs one in less than 7": func(_, f map[string]any) {
+			budgets(f)["calls"] = map[string]any{"whole": 9, "floor": 1, "window_ms": 8000}
+		},
+		"fleet.budgets: share is f": func(_, f map[string]any) { budgets(f)["jobs"] = map[string]any{"whole": 9, "share": 0.1} },
+		"fleet.budgets.cold.parts":  func(_, f map[string]any) { budgets(f)["cold"].(map[string]any)["parts"] = 400 },
 	} {
 		n, err := Load(fleetFile(t, change))
 		if want == "" {
--- a/internal/config/terms.go
+++ b/internal/config/terms.go
@@ -173,7 +173,7 @@
 	tenants := int(r.whole("Tenants.count", 0, 0))
 	for i := 0; i < tenants && r.err == nil; i++ {
 		at := "Tenants." + strconv.Itoa(i) + "."
-		t.Tenants = append(t.Tenants, &dispatch.Tenant{Share: r.real(at+"Share", 0)})
+		t.Tenants = append(t.Tenants, &dispatch.Tenant{Tag: r.word(at + "Name"), Share: r.real(at+"Share", 0)})
 	}
 	return t, r.err
 }
--- a/internal/emulator/leases.go
+++ b/internal/emulator/leases.go
@@ -216,8 +216,11 @@
 	return name, s.meters[name], key, w.pact.Budgets[budgets[b]].Whole
 }
 
-// May implements dispatch.Shares.
-func (s *share) May(b dispatch.Budget, e *dispatch.Executor, units float64) bool {
+// May implements dispatch.Shares. Tenants' jobs and calls for the list are not held together here.
+func (s *share) May(b dispatch.Budget, e *dispatch.Executor, _ *dispatch.Txn, units float64) bool {
+	if budgets[b] == "" {
+		return true
+	}
 	name, m, key, whole := s.of(b, e)
 	if m == nil || b == dispatch.Connect && len(s.node.idle[s.node.places[e]]) > 0 {
 		return true
--- a/internal/fleet/budget/meter.go
+++ b/internal/fleet/budget/meter.go
@@ -82,6 +82,12 @@
 	if u.sent != 0 {
 		return
 	}
+	m.Over(u)
+}
+
+// Over gives room back for what is known to have ended, of a budget that counts what is out: a unit is in use until then, or for
+// the window, which nothing outlasts, where the end is never heard of.
+func (m *Meter) Over(u *Use) {
 	m.uses[u.key] = slices.DeleteFunc(m.uses[u.key], func(x *Use) bool { return x == u })
 	if len(m.uses[u.key]) == 0 {
 		delete(m.uses, u.key)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,7 +62,7 @@
 	whole   int64 // as last heard
 	sent    int64 // counted at the sending
 	lapsed  int64 // held back there: the lease had run out, or had come down
-	slipped int64 // gone out, though the lease had run out once the write was over
+	slipped int64 // gone out, though the lease had run out once the write was over, or since it could not wait
 }
 
 // hurries is how many requests a node that needs more makes in a lease at most; one that needs no more makes three.
@@ -252,10 +252,12 @@
 		if err == nil {
 			f.take(answer)
 		}
-		// Danger: floors by a file of its own, beyond what was carved out for each.
-		f.mu.Lock()
-		f.holder.Refuse(errors.Is(err, errPact), f.clock())
-		f.mu.Unlock()
+		// Danger: floors by a file of its own, beyond what was carved out for each; a seat that is not reached proves nothing.
+		if refused := errors.Is(err, errPact); refused || err == nil {
+			f.mu.Lock()
+			f.holder.Refuse(refused, f.clock())
+			f.mu.Unlock()
+		}
 		if ok := err == nil; ok != heard {
 			heard = ok
 			f.log.Warn().AnErr("last", err).Bool("heard", ok).Msg("leases")
@@ -444,19 +446,32 @@
 	}
 }
 
-// Void gives back what never left.
-func (c *Charge) Void() {
+// End gives back what never left; over says that what was sent is known to have ended, so that jobs in flight are given back
+// as well. What else was sent counts for its window.
+func (c *Charge) End(over bool) {
 	if c.fleet == nil {
 		return
 	}
 	c.fleet.mu.Lock()
 	defer c.fleet.mu.Unlock()
 	for _, u := range c.uses {
-		u.share.meter.Void(u.use)
+		if u.share.meter.Void(u.use); over && u.name == c.fleet.share(config.Jobs, u.use.Key()) {
+			u.share.meter.Over(u.use)
+		}
 	}
 	c.uses = nil
 }
 
+// Beyond counts a sending that could not wait for its share, and that it did not.
+func (f *Fleet) Beyond(name, key string, units float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.shares[f.share(name, key)]; s != nil {
+		s.meter.Note(key, units, f.clock())
+		s.slipped++
+	}
+}
+
 // Figures is what operators see of a node's part.
 type Figures struct {
 	Epoch   uint64              `json:"epoch"`
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -14,6 +14,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -188,16 +189,28 @@
 	b.ends = append(b.ends, n.Load("job", "/look?close=1", 4, 8*time.Millisecond, 400*time.Millisecond))
 }
 
-// over ends the traffic and checks what arrived, over all that happened.
-func (b *busy) over(t *testing.T, least int) {
-	t.Helper()
+// end ends the traffic, and gives the statuses of its answers.
+func (b *busy) end() map[int]int {
 	statuses := map[int]int{}
+	var mu sync.Mutex
+	var all sync.WaitGroup
 	for _, end := range b.ends {
-		for status, count := range end() {
-			statuses[status] += count
-		}
+		all.Go(func() {
+			for status, count := range end() {
+				mu.Lock()
+				statuses[status] += count
+				mu.Unlock()
+			}
+		})
 	}
-	t.Logf("answers %v", statuses)
+	all.Wait()
+	return statuses
+}
+
+// over ends the traffic and checks what arrived, over all that happened.
+func (b *busy) over(t *testing.T, least int) {
+	t.Helper()
+	t.Logf("answers %v", b.end())
 	if all := within(t, b.Rig); all < least {
 		t.Errorf("%d connections: too few to have tried the whole", all)
 	}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -17,6 +17,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,6 +35,13 @@
 	start     time.Time
 	list      net.Listener
 	client    *http.Client
+
+	mu      sync.Mutex
+	version int64           // of the list
+	changed chan struct{}   // closed with the next version
+	drained map[string]bool // executors
+	deaf    bool            // discovery answers that it can't
+	calls   []int64         // when it was asked
 }
 
 // Plan is what a fleet is like.
@@ -54,7 +62,7 @@
 
 // New makes the stand-ins. Nothing is started yet. All of it ends with the test.
 func New(t testing.TB, plan Plan) *Rig {
-	r := &Rig{TB: t, plan: plan, start: time.Now(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	r := &Rig{TB: t, plan: plan, start: time.Now(), version: 1, changed: make(chan struct{}), drained: map[string]bool{}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	t.Cleanup(r.client.CloseIdleConnections)
 	for i := range plan.Executors {
 		r.Executors = append(r.Executors, newExecutor(r, fmt.Sprint("e", i)))
@@ -138,6 +146,33 @@
 	At   int64
 	ID   string
 	Work time.Duration // as its client told it
+	From string        // the tenant
+	Over int64         // when it was done, answered or not; 0: it is not
+}
+
+// Most jobs of one tenant that were out at any moment, at all stand-ins together.
+func (r *Rig) Most(tenant string) (most int) {
+	type step struct {
+		at int64
+		by int
+	}
+	var steps []step
+	for _, e := range r.Executors {
+		_, jobs := e.Noted()
+		for _, j := range jobs {
+			if j.From == tenant {
+				steps = append(steps, step{j.At, 1}, step{cmp.Or(j.Over, r.Now()), -1})
+			}
+		}
+	}
+	// Of one moment those that end come first.
+	slices.SortFunc(steps, func(a, b step) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.by, b.by)) })
+	out := 0
+	for _, s := range steps {
+		out += s.by
+		most = max(most, out)
+	}
+	return most
 }
 
 func newExecutor(r *Rig, name string) *Executor {
@@ -172,8 +207,14 @@
 	}
 	e.mu.Lock()
 	cost, _ := strconv.ParseInt(q.Header.Get("X-Call-Cost"), 10, 64)
-	e.Jobs = append(e.Jobs, Job{at, id, time.Duration(cost) * time.Microsecond})
+	job := len(e.Jobs)
+	e.Jobs = append(e.Jobs, Job{At: at, ID: id, Work: time.Duration(cost) * time.Microsecond, From: q.Header.Get("X-Caller")})
 	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.Jobs[job].Over = e.rig.Now()
+	}()
 	if q.URL.Query().Get("full") != "" {
 		out.WriteHeader(http.StatusTooManyRequests)
 		return
@@ -181,7 +222,9 @@
 	if q.URL.Query().Get("close") != "" {
 		out.Header().Set("Connection", "close")
 	}
-	time.Sleep(e.rig.plan.Reply)
+	// It works on, whoever has gone.
+	slow, _ := time.ParseDuration(q.URL.Query().Get("slow"))
+	time.Sleep(e.rig.plan.Reply + slow)
 	fmt.Fprintf(out, `{"id":%q,"from":%q,"state":"done","result":"r"}`+"\n", id, e.Name)
 }
 
@@ -210,22 +253,67 @@
 		started = r.plan.Started.UnixMilli()
 	}
 	for _, e := range r.Executors {
-		servers = append(servers, map[string]any{"id": e.Name, "addr": e.address, "zone": "a", "kind": "m", "state": "Ready", "weight": 1, "started_ms": started})
+		state := "Ready"
+		if r.drained[e.Name] {
+			state = "Terminating"
+		}
+		servers = append(servers, map[string]any{"id": e.Name, "addr": e.address, "zone": "a", "kind": "m", "state": state, "weight": 1, "started_ms": started})
 	}
-	return map[string]any{"version": 1, "full": true, "servers": servers}
+	return map[string]any{"version": r.version, "full": true, "servers": servers}
 }
 
 func (r *Rig) discover(out http.ResponseWriter, q *http.Request) {
-	if q.URL.Query().Get("since") == "1" {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.calls = append(r.calls, r.Now()); r.deaf {
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	list, since := r.known(), q.URL.Query().Get("since")
+	if since != "" {
+		list["full"] = false
+	}
+	if since == fmt.Sprint(r.version) {
 		wait, _ := time.ParseDuration(q.URL.Query().Get("timeout_ms") + "ms")
+		changed := r.changed
+		r.mu.Unlock()
 		select {
 		case <-time.After(wait):
+		case <-changed:
 		case <-q.Context().Done():
 		}
-		json.NewEncoder(out).Encode(map[string]any{"version": 1, "full": false, "servers": []any{}})
-		return
+		if r.mu.Lock(); r.version == list["version"] {
+			list["servers"] = []any{}
+		} else {
+			list = r.known()
+			list["full"] = false
+		}
 	}
-	json.NewEncoder(out).Encode(r.known())
+	json.NewEncoder(out).Encode(list)
+}
+
+// News has discovery tell all who wait of a next version; change is made before it, under the list's lock.
+func (r *Rig) News(change func(drained map[string]bool)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(r.drained)
+	r.version++
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Deafen has discovery answer that it can't, or serve again.
+func (r *Rig) Deafen(yes bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.deaf = yes
+}
+
+// Calls for the list so far.
+func (r *Rig) Calls() []int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.calls)
 }
 
 // Node is one node's place: its addresses stay when its process is started anew.
@@ -272,6 +360,8 @@
 
 // configuration is the node's file. Each node calls the seats through relays of its own.
 func (n *Node) configuration() []byte {
+	n.rig.mu.Lock()
+	defer n.rig.mu.Unlock()
 	file := map[string]any{"name": n.Name, "listen": n.Listen, "admin_addr": n.Admin, "discovery": n.rig.list.Addr().String(),
 		"seed": fmt.Sprint(n.Index + 1), "limits": map[string]any{"sockets": 400}, "known": n.rig.known(), "settings": n.rig.plan.Settings}
 	if n.rig.plan.Fleet != nil {
@@ -485,6 +575,9 @@
 	q.ContentLength = 1
 	scheme, _, _ := strings.Cut(strings.TrimPrefix(target, "/"), "?")
 	q.Header = http.Header{"X-Call-Id": {id}, "X-Call-Class": {scheme}, "X-Budget-Ms": {fmt.Sprint(budget.Milliseconds())}}
+	if from := q.URL.Query().Get("from"); from != "" {
+		q.Header.Set("X-Caller", from)
+	}
 	if work := n.rig.plan.Work; work > 0 {
 		q.Header.Set("X-Call-Cost", fmt.Sprint(work.Microseconds()))
 	}
--- a/internal/routing/life.go
+++ b/internal/routing/life.go
@@ -114,7 +114,7 @@
 		n.log.Trace().Str("id", p.Txn.Tag).Int("number", p.Number).Str("executor", p.Executor.Tag).Stringer("outcome", e.Outcome).
 			Int64("sent_us", sent/1e3).Int64("began_us", began/1e3).Int64("ended_us", n.clock()/1e3).Msg("posting")
 		if charge != nil {
-			charge.Void()
+			charge.End(e.Outcome == dispatch.Settled || e.Outcome == dispatch.Erred || e.Outcome == dispatch.Full)
 		}
 		n.ended(p, e, sent)
 	}
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -28,6 +28,7 @@
 type told struct {
 	list *protocol.List
 	err  error
+	held bool // it was not made, for want of a share
 }
 
 // Follow keeps the list up to date while the module wants that. A call that fails ends the watch; the module says
@@ -69,6 +70,10 @@
 func (n *Node) ask(ctx context.Context, l Lister, since int64, whole bool, answer chan<- told) {
 	var a told
 	start := time.Now()
+	if a.held = !n.may(); a.held {
+		answer <- a
+		return
+	}
 	if fault := n.guard(func() { a.list, a.err = l.Ask(ctx, since, whole) }); fault != nil {
 		a.err = fault
 	}
@@ -84,7 +89,7 @@
 
 // hear takes what a call brought, and says whether to ask on, and for what.
 func (n *Node) hear(a told, had int64, wanted bool) (on, whole bool, version int64) {
-	if a.err == nil && wanted && !a.list.Full {
+	if a.err == nil && !a.held && wanted && !a.list.Full {
 		a.err = errors.New("asked for the whole list, got changes")
 	}
 	switch {
@@ -92,10 +97,14 @@
 		n.log.Warn().Err(a.err).Msg("discovery: list kept as it is")
 		n.event(n.module.ListFailed)
 		return false, wanted, had
+	// Danger: a share that ran out between the decision and the call. The module decides anew.
+	case a.held:
+		n.event(n.module.Ask)
+		return false, wanted, had
 	// Danger: changes to a list that this node does not have. It asks for the whole.
 	case !a.list.Full && a.list.Version < had:
 		n.log.Warn().Int64("version", a.list.Version).Int64("had", had).Msg("discovery: went back")
-		return true, true, had
+		return n.on(), true, had
 	}
 	if a.list.Full || len(a.list.Entries) > 0 {
 		n.log.Info().Int64("version", a.list.Version).Bool("whole", a.list.Full).Int("entries", len(a.list.Entries)).Msg("list")
@@ -105,7 +114,25 @@
 		close(n.news)
 		n.news = nil
 	}
-	return true, false, a.list.Version
+	return n.on(), false, a.list.Version
+}
+
+// on says whether the next call is made at once; where nodes hold calls together the module says when.
+func (n *Node) on() bool {
+	if n.purse != nil {
+		n.event(n.module.ListAsked)
+	}
+	return n.purse == nil
+}
+
+// may says whether a call may go out at this moment.
+func (n *Node) may() bool {
+	if n.purse == nil {
+		return true
+	}
+	overdue := false
+	n.event(func() { overdue = n.module.Overdue() })
+	return n.purse.Call(overdue)
 }
 
 // listed hands the list to the module and keeps the addresses.
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -32,18 +32,22 @@
 
 // Purse is this node's share of what all nodes hold together. It is asked under the module's lock and never calls back.
 type Purse interface {
-	// May says whether so many units more may be used now; key is an executor's address for connections, its name for the rest.
+	// May says whether so many units more may be used now; key is an executor's address for connections, a tenant's name for its
+	// jobs, an executor's name for the rest, and empty for what there is one share of.
 	May(b dispatch.Budget, key string, units float64) bool
 	// Part is what this node has of all there is, by the same key.
 	Part(b dispatch.Budget, key string) float64
 	// Charge reserves what a posting takes; nil: there is none left, and it may not go out.
-	Charge(executor string, again bool, cold float64) Charge
+	Charge(executor, tenant string, again bool, cold float64) Charge
+	// Call takes one call for the list at the moment at which it would be sent; one that is overdue goes in any case.
+	Call(overdue bool) bool
 }
 
-// Charge is what one posting takes. Void gives it back if it never left.
+// Charge is what one posting takes. End gives it back if it never left, and where its executor said that it is over, what is
+// taken only as long as a job may run.
 type Charge interface {
 	protocol.Admission
-	Void()
+	End(over bool)
 }
 
 // Node is the module with all that it acts through. It is the module's Door.
@@ -194,7 +198,7 @@
 	}
 	var charge Charge
 	if n.purse != nil {
-		if charge = n.purse.Charge(p.Executor.Tag, p.Number > 0, p.Part); charge == nil {
+		if charge = n.purse.Charge(p.Executor.Tag, n.tenant(p.Txn), p.Number > 0, p.Part); charge == nil {
 			defer withdraw()
 			go n.ended(p, protocol.End{Outcome: dispatch.Unsent}, n.clock())
 			return
@@ -205,10 +209,24 @@
 }
 
 // May implements dispatch.Shares, under the lock as well.
-func (n *Node) May(b dispatch.Budget, e *dispatch.Executor, units float64) bool {
+func (n *Node) May(b dispatch.Budget, e *dispatch.Executor, t *dispatch.Txn, units float64) bool {
+	switch b {
+	case dispatch.Jobs:
+		return n.purse.May(b, n.tenant(t), units)
+	case dispatch.Again, dispatch.Calls:
+		return n.purse.May(b, "", units)
+	}
 	return n.purse.May(b, n.key(b, e), units)
 }
 
+// tenant is the name of a txn's; empty where there are none.
+func (n *Node) tenant(t *dispatch.Txn) string {
+	if t.Tenant >= len(n.terms.Tenants) {
+		return ""
+	}
+	return n.terms.Tenants[t.Tenant].Tag
+}
+
 // Part implements dispatch.Shares, under the lock as well.
 func (n *Node) Part(b dispatch.Budget, e *dispatch.Executor) float64 {
 	return n.purse.Part(b, n.key(b, e))
