Subsets: each node uses a part of the executors, divided evenly, and others when those fail

Change: internal/fleet/subset, free of I/O: pairs of nodes and executors in one order by a hash, with a least and a most for each executor, so that nothing has to be agreed on. The node divides again when gossip or the list tells of others (cmd/fernrail/subset.go), and hands each executor's distance over (Executor.Far), which the draw puts after all else. Off without `fleet.subset`. The rig's relays try another port where one was taken meanwhile.

--- a/cmd/fernrail/commands.go
+++ b/cmd/fernrail/commands.go
@@ -123,6 +123,9 @@
 			fmt.Fprintln(out)
 		}
 	}
+	if s := f.Subset; s != nil {
+		fmt.Fprintf(out, "\nuses %d of %d executors, divided among %d nodes\n", s.Near, s.Listed, s.Nodes)
+	}
 	if s := f.Seat; s != nil {
 		fmt.Fprintf(out, "\nseat %s: %s; granter %s, epoch %d, seats %s %s\n\n", s.ID, s.State, s.Granter, s.Epoch, strings.Join(s.Seats, " "), s.Fault)
 		fmt.Fprintln(t, "budget\twhole\tfloors\tgranted\tresting\tfree\t")
--- a/cmd/fernrail/desk.go
+++ b/cmd/fernrail/desk.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -35,6 +36,7 @@
 	counters    *telemetry.Counters
 	seat        *handover.Seat
 	share       *fleet.Fleet // nil: no budget is held with other nodes
+	subset      atomic.Pointer[fleet.SubsetFigures]
 	log         zerolog.Logger
 
 	mu     sync.Mutex // round what follows
@@ -192,7 +194,9 @@
 	if d.share == nil {
 		return nil, errAlone
 	}
-	return json.Marshal(d.share.Read())
+	f := d.share.Read()
+	f.Subset = d.subset.Load()
+	return json.Marshal(f)
 }
 
 func (d *desk) Whole(name, units string) error {
--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -88,6 +88,9 @@
 	defer cancel()
 	go desk.node.Follow(follow)
 	go desk.keepUp(follow)
+	if share != nil && c.Fleet.Subset != nil {
+		go desk.divide(follow)
+	}
 	go func() {
 		for range hangup {
 			reload(c, desk.node, log)
--- /dev/null
+++ b/cmd/fernrail/subset.go
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+
+	"fernrail/internal/fleet"
+	"fernrail/internal/fleet/subset"
+)
+
+// divide keeps executors divided among the nodes that are there, as far as this one knows of either.
+func (d *desk) divide(ctx context.Context) {
+	for {
+		nodes, entries := d.share.Peers(), d.node.Entries()
+		executors := make([]subset.Executor, len(entries))
+		for i, e := range entries {
+			executors[i] = subset.Executor{Name: e.ID, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell}
+			// Where the list tells of load its units move with that, and are no size.
+			if !d.config.Terms.Live {
+				executors[i].Size = e.Units
+			}
+		}
+		far, near := subset.Far(d.config.Name, nodes, executors, *d.config.Fleet.Subset), 0
+		for _, at := range far {
+			if at == 0 {
+				near++
+			}
+		}
+		d.node.Place(far)
+		d.subset.Store(&fleet.SubsetFigures{Nodes: max(len(nodes), 1), Listed: len(far), Near: near})
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.share.News():
+		case <-d.node.Relisted():
+		}
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -345,8 +345,7 @@
 		return d.terms.Shares.May(Cold, e, t, t.size/d.bears(e, d.now-d.terms.Fall, 1))
 	}
 	part, since, turn, _ := d.part(e)
-	sum := e.sends.sum(t.size, since)
-	return turn && d.born < since && sum <= part
+	return turn && d.born < since && e.sends.sum(t.size, since) <= part
 }
 
 // bears is a part of the work that all nodes may send a cold executor in a window, by its warmth at a time.
@@ -471,6 +470,8 @@
 		if !roam && e.zone != d.terms.Zone {
 			step += 3
 		}
+		// Danger: of many nodes each holds connections to all. What is beyond this one's part comes after the rest.
+		step += 6 * float64(t.farther(e))
 		e.wait = step*1e9 - math.Log(1-d.chance.Float64())/d.weight(t, e)
 		if i, _ := slices.BinarySearchFunc(d.drawn, e, byWait); i < count {
 			d.drawn = slices.Insert(d.drawn, i, e)
--- a/dispatch/shares_test.go
+++ b/dispatch/shares_test.go
@@ -125,3 +125,48 @@
 		t.Errorf("%d postings, %d answers, after %d ms", len(x.Postings), w.ended[x], took/1e6)
 	}
 }
+
+// TestFarComesLast: executors beyond this node's part get work only when those of its part can't take it, nearer ones first; a
+// txn that has homes goes by these. Danger: a draw among all, or a node that starves beside idle machines.
+func TestFarComesLast(t *testing.T) {
+	terms := basicTerms()
+	w := newWorld(t, 1, terms)
+	w.join(9, false)
+	for i, m := range w.fleet {
+		m.Executor.Far = i / 3
+	}
+	used := func(key uint64) (used [3]int) {
+		for range 60 {
+			x := &Txn{Scheme: terms.Schemes[0], Slots: 1, Hint: 1e7, Expiry: w.now + 5e9, Key: key}
+			w.txns = append(w.txns, x)
+			w.d.Arrive(x)
+			w.d.Settle()
+			for _, p := range w.open {
+				used[p.Executor.Far]++
+			}
+			w.settle()
+			w.pass(1e8)
+		}
+		return used
+	}
+	if u := used(0); u[0] != 60 {
+		t.Errorf("%v", u)
+	}
+	for _, m := range w.fleet[:3] {
+		m.State = Draining
+	}
+	w.list(true)
+	if u := used(0); u[1] != 60 {
+		t.Errorf("with the near ones drained: %v", u)
+	}
+	for i, m := range w.fleet {
+		m.State, m.Executor.Far = Up, 0
+		if i > 0 {
+			m.Executor.Far = 2
+		}
+	}
+	w.list(true)
+	if homes := used(7); homes[2] == 0 {
+		t.Errorf("with homes: %v", homes)
+	}
+}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -227,6 +227,14 @@
 	return nil
 }
 
+// farther is how far an executor is from this node for the txn; one that has homes goes by these.
+func (t *Txn) farther(e *Executor) int {
+	if t.Key != 0 {
+		return 0
+	}
+	return e.Far
+}
+
 func (t *Txn) unit() float64 { return float64(cmp.Or(t.Hint, 1e9)) }
 
 // Posting is one sending of a txn to an executor.
@@ -250,6 +258,7 @@
 	Tag   string
 	Mark  uint64 // by chance, the same at all nodes
 	State State
+	Far   int // 0: one that this node is to use; else those of 1 come before those of 2, where the others can't serve
 
 	zone, kind, cell int
 	model            *model
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -204,6 +204,18 @@
 		return r.err
 	}
 	var err error
+	if n.Seed, err = strconv.ParseUint(r.word("seed"), 16, 64); err != nil {
+		return fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", r.word("seed"))
+	}
+	if n.Known = (&protocol.List{}); known != nil {
+		text, err := json.Marshal(known)
+		if err == nil {
+			n.Known, err = protocol.ReadList(text, n.Names)
+		}
+		if err != nil {
+			return fmt.Errorf("known: %w", err)
+		}
+	}
 	if n.Fleet, err = n.fleet(r, flat); err != nil {
 		return err
 	}
@@ -211,20 +223,6 @@
 	if n.Fleet != nil && !n.Unheard {
 		n.Fleet, n.Silenced = nil, true
 	}
-	if n.Seed, err = strconv.ParseUint(r.word("seed"), 16, 64); err != nil {
-		return fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", r.word("seed"))
-	}
-	if known == nil {
-		n.Known = &protocol.List{}
-		return nil
-	}
-	text, err := json.Marshal(known)
-	if err == nil {
-		n.Known, err = protocol.ReadList(text, n.Names)
-	}
-	if err != nil {
-		return fmt.Errorf("known: %w", err)
-	}
 	return nil
 }
 
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"fernrail/internal/fleet/budget"
+	"fernrail/internal/fleet/subset"
 )
 
 // Seat is a node that takes part in granting.
@@ -28,6 +29,7 @@
 	Gossip string            // where this node hears who is there; empty: it takes no part in that
 	Join   []string          // where others do, some of them
 	Routes map[string]string // addresses that this node reaches by another one
+	Subset *subset.Terms     // nil: each node uses all executors
 }
 
 // Budgets that can be held together, by the names that the file gives them.
@@ -45,6 +47,7 @@
 	defaultMargin = 0.05                  // clocks of machines differ by a thousandth of that; paused virtual ones do not
 	roundTrips    = 3                     // at least, in a lease
 	leastSecret   = 8                     // bytes
+	defaultCover  = 3                     // nodes that use an executor at least: two may be wrong about who is there
 	mostNodes     = 4096                  // that any fleet may ever have
 	defaultTrip   = 50 * time.Millisecond // of a call between nodes
 )
@@ -52,10 +55,10 @@
 // fleet reads the section of that name; nil: there is none.
 func (n *Node) fleet(r *reader, flat map[string]string) (*Fleet, error) {
 	names := map[string]bool{}
-	some := false
+	some, parted := false, false
 	for key := range flat {
 		rest, is := strings.CutPrefix(key, "fleet.")
-		some = some || is
+		some, parted = some || is, parted || strings.HasPrefix(rest, "subset.")
 		if rest, is = strings.CutPrefix(rest, "budgets."); is {
 			name, _, _ := strings.Cut(rest, ".")
 			names[name] = true
@@ -83,6 +86,21 @@
 	if f.Gossip == "" && len(f.Join) > 0 {
 		return nil, fmt.Errorf("fleet.join: nothing to join by without fleet.gossip")
 	}
+	if parted {
+		f.Subset = &subset.Terms{Size: int(r.whole("fleet.subset.size", 0, 1)), Cover: int(r.whole("fleet.subset.cover", defaultCover, 1))}
+		// Danger: a zone or a kind that a node can't reach, or a part that is none.
+		least, listed := max(len(n.Names.Zones), len(n.Names.Kinds)), len(n.Known.Entries)
+		switch size := f.Subset.Size; {
+		case r.err != nil:
+			return nil, r.err
+		case size < least:
+			return nil, fmt.Errorf("fleet.subset.size: %d is under the %d zones or kinds of which each node needs one", size, least)
+		case listed > 0 && size > listed:
+			return nil, fmt.Errorf("fleet.subset.size: %d is more than the %d executors that are known", size, listed)
+		case f.Gossip == "":
+			return nil, fmt.Errorf("fleet.subset: without fleet.gossip no node knows of others")
+		}
+	}
 	count := int(r.whole("fleet.seats.count", 0, 0))
 	for i := range count {
 		at := "fleet.seats." + strconv.Itoa(i)
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -65,6 +65,19 @@
 		"needs one in less than 7": func(_, f map[string]any) {
 			budgets(f)["calls"] = map[string]any{"whole": 9, "floor": 1, "window_ms": 8000}
 		},
+		"fleet.subset.size: 2 is mo": func(file, f map[string]any) {
+			f["subset"] = map[string]any{"size": 2}
+			file["known"] = map[string]any{"version": 1, "full": true, "servers": []any{map[string]any{"id": "s", "addr": "127.0.0.1:7", "zone": "home", "kind": "toy", "state": "Ready", "weight": 1}}}
+		},
+		"fleet.subset.size: 1 is u": func(file, f map[string]any) {
+			f["subset"] = map[string]any{"size": 1}
+			file["settings"].(map[string]any)["Dcs"] = []any{"home", "away"}
+		},
+		"fleet.subset: without fle": func(_, f map[string]any) {
+			f["subset"] = map[string]any{"size": 3}
+			delete(f, "gossip")
+			delete(f, "join")
+		},
 		"fleet.budgets: share is f": func(_, f map[string]any) { budgets(f)["jobs"] = map[string]any{"whole": 9, "share": 0.1} },
 		"fleet.budgets.cold.parts":  func(_, f map[string]any) { budgets(f)["cold"].(map[string]any)["parts"] = 400 },
 	} {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,6 +43,7 @@
 	log   zerolog.Logger
 	calls *calls
 	kick  chan struct{}
+	news  chan struct{} // of members
 	all   sync.WaitGroup
 	stop  context.CancelFunc
 
@@ -72,7 +73,7 @@
 // live, one of which may have it. Close ends both.
 func Start(name string, plan *config.Fleet, beside bool, clock Clock, log zerolog.Logger) (*Fleet, error) {
 	ctx, stop := context.WithCancel(context.Background())
-	f := &Fleet{plan: plan, name: name, clock: clock, log: log.With().Str("part", "fleet").Logger(), kick: make(chan struct{}, 1),
+	f := &Fleet{plan: plan, name: name, clock: clock, log: log.With().Str("part", "fleet").Logger(), kick: make(chan struct{}, 1), news: make(chan struct{}, 1),
 		stop: stop, shares: map[string]*share{}}
 	f.holder = budget.NewHolder(name, identity(), &plan.Pact, clock())
 	f.wants, f.firsts = budget.NewAppetite(name, &plan.Pact), budget.NewMeter(&plan.Pact, config.Again)
@@ -96,7 +97,7 @@
 		}
 	}
 	if plan.Gossip != "" {
-		m, err := meet(ctx, name, plan, f.log)
+		m, err := meet(ctx, name, plan, f.told, f.log)
 		if err != nil && beside {
 			f.all.Go(func() { f.meetLater(ctx) })
 		} else if err != nil {
@@ -110,10 +111,31 @@
 	return f, nil
 }
 
+func (f *Fleet) told() {
+	select {
+	case f.news <- struct{}{}:
+	default:
+	}
+}
+
+// News comes when other members are there than were when they were last looked at.
+func (f *Fleet) News() <-chan struct{} { return f.news }
+
+// Peers are the nodes that are there, as this one believes, itself among them where it takes part in gossip.
+func (f *Fleet) Peers() []string {
+	f.mu.Lock()
+	m := f.members
+	f.mu.Unlock()
+	if m == nil {
+		return nil
+	}
+	return m.names()
+}
+
 // meetLater waits for the address at which another process of this node still hears who is there.
 func (f *Fleet) meetLater(ctx context.Context) {
 	later(ctx, func() bool {
-		m, err := meet(ctx, f.name, f.plan, f.log)
+		m, err := meet(ctx, f.name, f.plan, f.told, f.log)
 		if err != nil {
 			return false
 		}
@@ -479,9 +501,17 @@
 	Clock   float64             `json:"clock,omitempty"` // this node's rate by the granter's, where that is beyond the margin
 	Budgets map[string]Standing `json:"budgets"`
 	Members []MemberFigures     `json:"members,omitempty"`
+	Subset  *SubsetFigures      `json:"subset,omitempty"`
 	Seat    *SeatFigures        `json:"seat,omitempty"`
 }
 
+// SubsetFigures are of the executors that a node uses before the others.
+type SubsetFigures struct {
+	Nodes  int `json:"nodes"` // among which executors were divided last
+	Listed int `json:"listed"`
+	Near   int `json:"near"` // of these, those that the node is to use
+}
+
 // Standing is one budget at one node.
 type Standing struct {
 	Whole   int64   `json:"whole"`
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -28,6 +29,7 @@
 	list *memberlist.Memberlist
 	all  sync.WaitGroup
 	stop context.CancelFunc
+	told func() // of each change
 
 	mu        sync.Mutex
 	there     map[string]string // by name: the addresses of those that are there, copied as the library tells of them
@@ -40,9 +42,9 @@
 const rejoin = 10
 
 // meet takes part in the gossip.
-func meet(ctx context.Context, name string, plan *config.Fleet, log zerolog.Logger) (*members, error) {
+func meet(ctx context.Context, name string, plan *config.Fleet, told func(), log zerolog.Logger) (*members, error) {
 	ctx, stop := context.WithCancel(ctx)
-	m := &members{name: name, plan: plan, log: log, stop: stop, there: map[string]string{}, gone: map[string]string{}, conflicts: map[string]string{}}
+	m := &members{name: name, plan: plan, log: log, stop: stop, told: told, there: map[string]string{}, gone: map[string]string{}, conflicts: map[string]string{}}
 	host, port, err := net.SplitHostPort(plan.Gossip)
 	if err != nil {
 		stop()
@@ -135,6 +137,14 @@
 	to[n.Name] = n.Address()
 	m.mu.Unlock()
 	m.log.Info().Str("member", n.Name).Bool("there", there).Msg("members")
+	m.told()
+}
+
+// names of those that are there.
+func (m *members) names() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Sorted(maps.Keys(m.there))
 }
 
 // NotifyConflict implements memberlist.ConflictDelegate.
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -77,14 +77,14 @@
 	for i, n := range r.Nodes {
 		for j := range plan.Nodes {
 			if plan.Gossip && j != i {
-				n.gossips = append(n.gossips, newRelay(t, r.free(), r.Nodes[j].gossip))
+				n.gossips = append(n.gossips, newRelay(t, r.free, r.Nodes[j].gossip))
 			} else {
 				n.gossips = append(n.gossips, nil)
 			}
 		}
 		for j := range plan.Seats {
 			if j != i {
-				n.relays = append(n.relays, newRelay(t, "127.0.0.1:0", r.Nodes[j].Door))
+				n.relays = append(n.relays, newRelay(t, func() string { return "127.0.0.1:0" }, r.Nodes[j].Door))
 			} else {
 				n.relays = append(n.relays, nil)
 			}
@@ -137,6 +137,7 @@
 	rig     *Rig
 
 	mu       sync.Mutex
+	shuns    string  // the node whose jobs break off
 	Accepted []int64 // when connections were accepted
 	Jobs     []Job
 }
@@ -208,6 +209,7 @@
 	e.mu.Lock()
 	cost, _ := strconv.ParseInt(q.Header.Get("X-Call-Cost"), 10, 64)
 	job := len(e.Jobs)
+	shunned := e.shuns != "" && strings.Contains(id, "-"+e.shuns+"-")
 	e.Jobs = append(e.Jobs, Job{At: at, ID: id, Work: time.Duration(cost) * time.Microsecond, From: q.Header.Get("X-Caller")})
 	e.mu.Unlock()
 	defer func() {
@@ -215,6 +217,9 @@
 		defer e.mu.Unlock()
 		e.Jobs[job].Over = e.rig.Now()
 	}()
+	if shunned {
+		panic(http.ErrAbortHandler)
+	}
 	if q.URL.Query().Get("full") != "" {
 		out.WriteHeader(http.StatusTooManyRequests)
 		return
@@ -228,6 +233,13 @@
 	fmt.Fprintf(out, `{"id":%q,"from":%q,"state":"done","result":"r"}`+"\n", id, e.Name)
 }
 
+// Shun has the jobs of one node break off, as on a link that is bad; empty: of none.
+func (e *Executor) Shun(node string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.shuns = node
+}
+
 // Noted gives what has arrived so far.
 func (e *Executor) Noted() (accepted []int64, jobs []Job) {
 	e.mu.Lock()
--- /dev/null
+++ b/internal/rig/subset_test.go
@@ -0,0 +1,277 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package rig_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"fernrail/internal/rig"
+)
+
+// parted is a fleet whose nodes use parts of the executors.
+func parted(nodes, size int) rig.Plan {
+	plan := fleetPlan(nodes, 3, 30)
+	plan.Gossip = true
+	plan.Fleet["most"] = 18
+	// A node that is seldom busy goes on with the few that it has connections to; here all are drawn alike.
+	plan.Settings["Limits"].(map[string]any)["IdleClose"] = 1_000_000
+	delete(plan.Fleet["budgets"].(map[string]any), "connect")
+	if size > 0 {
+		plan.Fleet["subset"] = map[string]any{"size": size, "cover": 3}
+	}
+	return plan
+}
+
+// heard counts what arrived since: the fewest and most nodes that any executor heard of, and the fewest and most jobs that any
+// had, as shares of the mean.
+func heard(r *rig.Rig, since int64) (fewest, most int, idlest, busiest float64) {
+	all, counts := 0, make([]int, len(r.Executors))
+	for i, e := range r.Executors {
+		_, jobs := e.Noted()
+		from := map[string]bool{}
+		for j := len(jobs) - 1; j >= 0 && jobs[j].At >= since; j-- {
+			from[strings.Split(jobs[j].ID, "-")[1]] = true
+			counts[i]++
+		}
+		all += counts[i]
+		if i == 0 || len(from) < fewest {
+			fewest = len(from)
+		}
+		most = max(most, len(from))
+	}
+	mean := max(float64(all)/float64(len(counts)), 1e-9)
+	idlest = 1e9
+	for _, n := range counts {
+		idlest, busiest = min(idlest, float64(n)/mean), max(busiest, float64(n)/mean)
+	}
+	return fewest, most, idlest, busiest
+}
+
+// TestSubsets: of thirty executors each is used by about as many nodes as the next while a fleet of nine grows to eighteen and
+// falls to five under traffic, all the time but for what gossip needs; no client of a node that lives goes without its one
+// answer. Nodes that use all executors are heard by each: the count can fail.
+func TestSubsets(t *testing.T) {
+	beside(t)
+	b := &busy{Rig: rig.New(t, parted(18, 10))}
+	steady := func(what string, fewest, most int) {
+		t.Helper()
+		var since int64
+		took := b.Until(what, 4*soon, func() bool {
+			if b.Now()-since < int64(1500*time.Millisecond) {
+				return false
+			}
+			a, z, _, _ := heard(b.Rig, since)
+			if a >= fewest && z <= most {
+				return true
+			}
+			since = b.Now()
+			return false
+		})
+		since = b.Now()
+		pass(b.Rig, 2*time.Second)
+		a, z, idlest, busiest := heard(b.Rig, since)
+		t.Logf("%s after %v; then %d to %d nodes at an executor, work %.2f to %.2f of the mean", what, took, a, z, idlest, busiest)
+		if a < fewest || z > most || idlest < 0.3 || busiest > 2 {
+			t.Errorf("%s: %d to %d nodes at an executor, %d to %d are promised; work %.2f to %.2f of the mean", what, a, z, fewest, most, idlest, busiest)
+		}
+	}
+	start := func(nodes []*rig.Node) {
+		for _, n := range nodes {
+			n.Start()
+		}
+		for _, n := range nodes {
+			n.Ready()
+			b.ends = append(b.ends, n.Load("job", "/look", 2, 15*time.Millisecond, time.Second))
+		}
+	}
+	start(b.Nodes[:9])
+	steady("nine", 2, 4)
+	start(b.Nodes[9:])
+	steady("eighteen", 5, 7)
+	for _, n := range b.Nodes[5:] {
+		n.Kill()
+	}
+	steady("five", 2, 4)
+	for i, statuses := range b.each() {
+		if i < 5 && (statuses[0] > 0 || statuses[200] < 100) {
+			t.Errorf("%s: answers %v", b.Nodes[i].Name, statuses)
+		}
+	}
+}
+
+// from are the executors that a node sent jobs to since.
+func from(r *rig.Rig, node *rig.Node, since int64) map[*rig.Executor]bool {
+	used := map[*rig.Executor]bool{}
+	for _, e := range r.Executors {
+		_, jobs := e.Noted()
+		for j := len(jobs) - 1; j >= 0 && jobs[j].At >= since; j-- {
+			if strings.Contains(jobs[j].ID, "-"+node.Name+"-") {
+				used[e] = true
+			}
+		}
+	}
+	return used
+}
+
+// settle waits until all nodes take so many others for there, and lets a window pass.
+func settle(b *busy, nodes []*rig.Node, others int) {
+	b.Until("the nodes that are there are known", 4*soon, func() bool {
+		for _, n := range nodes {
+			if f := figures(n); f == nil || f.Subset == nil || f.Subset.Nodes != others {
+				return false
+			}
+		}
+		return true
+	})
+	pass(b.Rig, 500*time.Millisecond)
+}
+
+// TestSubsetWidens: what a node is to use breaks off for it alone, then drains; it goes on with others, of which it takes no
+// more than it needs, and comes back once it can. The other nodes keep to theirs.
+func TestSubsetWidens(t *testing.T) {
+	beside(t)
+	plan := parted(6, 6)
+	plan.Fleet["subset"] = map[string]any{"size": 6, "cover": 1}
+	b := &busy{Rig: rig.New(t, plan)}
+	for _, n := range b.Nodes {
+		n.Start()
+	}
+	for _, n := range b.Nodes {
+		n.Ready()
+		b.ends = append(b.ends, n.Load("job", "/look", 2, 15*time.Millisecond, time.Second))
+	}
+	settle(b, b.Nodes, 6)
+	hurt, other := b.Nodes[4], b.Nodes[5]
+	look := func() (mine, theirs map[*rig.Executor]bool) {
+		since := b.Now()
+		pass(b.Rig, 1500*time.Millisecond)
+		return from(b.Rig, hurt, since), from(b.Rig, other, since)
+	}
+	near, theirs := look()
+	if len(near) != figures(hurt).Subset.Near || len(near) > 8 || len(theirs) > 8 {
+		t.Fatalf("%d and %d executors are used, %d are to be", len(near), len(theirs), figures(hurt).Subset.Near)
+	}
+	same := func(a, b map[*rig.Executor]bool) bool {
+		for e := range a {
+			if !b[e] {
+				return false
+			}
+		}
+		return true
+	}
+	check := func(what string) {
+		t.Helper()
+		took := b.Until(what+": it uses others", soon, func() bool {
+			since := b.Now()
+			pass(b.Rig, 300*time.Millisecond)
+			for e := range from(b.Rig, hurt, since) {
+				if !near[e] {
+					return true
+				}
+			}
+			return false
+		})
+		pass(b.Rig, time.Second)
+		mine, now := look()
+		t.Logf("%s: after %v it uses %d, of 30", what, took, len(mine))
+		if len(mine) > 20 || !same(now, theirs) {
+			t.Errorf("%s: it uses %d executors, the other node %d", what, len(mine), len(now))
+		}
+	}
+	back := func() {
+		t.Helper()
+		t.Logf("back after %v", b.Until("it uses its own again", 3*soon, func() bool {
+			since := b.Now()
+			pass(b.Rig, 700*time.Millisecond)
+			mine := from(b.Rig, hurt, since)
+			return len(mine) > 3 && same(mine, near)
+		}))
+	}
+	for e := range near {
+		e.Shun(hurt.Name)
+	}
+	check("broken off")
+	for e := range near {
+		e.Shun("")
+	}
+	back()
+	b.News(func(drained map[string]bool) {
+		for e := range near {
+			drained[e.Name] = true
+		}
+	})
+	check("drained")
+	b.News(func(drained map[string]bool) { clear(drained) })
+	back()
+	for i, statuses := range b.each() {
+		if t.Log(statuses); statuses[0] > 0 || statuses[503] > statuses[200]/10 {
+			t.Errorf("%s: answers %v", b.Nodes[i].Name, statuses)
+		}
+	}
+}
+
+// TestSubsetsSplit: gossip is cut into two halves, while all executors are in reach of both. Each half covers all executors by
+// itself; healed they divide them together again, within seconds.
+func TestSubsetsSplit(t *testing.T) {
+	beside(t)
+	plan := parted(8, 6)
+	b := &busy{Rig: rig.New(t, plan)}
+	for _, n := range b.Nodes {
+		n.Start()
+	}
+	for _, n := range b.Nodes {
+		n.Ready()
+		b.ends = append(b.ends, n.Load("job", "/look", 2, 15*time.Millisecond, time.Second))
+	}
+	settle(b, b.Nodes, 8)
+	gossips := func(do func(*rig.Relay)) {
+		for i, n := range b.Nodes {
+			for j := range b.Nodes {
+				if (i < 4) != (j < 4) {
+					do(n.Gossip(j))
+				}
+			}
+		}
+	}
+	look := func() (fewest, most int, half [2]int) {
+		since := b.Now()
+		pass(b.Rig, 2*time.Second)
+		fewest, most, _, _ = heard(b.Rig, since)
+		for side := range half {
+			used := map[*rig.Executor]bool{}
+			for _, n := range b.Nodes[4*side : 4*side+4] {
+				for e := range from(b.Rig, n, since) {
+					used[e] = true
+				}
+			}
+			half[side] = len(used)
+		}
+		return fewest, most, half
+	}
+	whole := func() {
+		t.Helper()
+		fewest, most, half := look()
+		t.Logf("together: %d to %d nodes at an executor, %v of 30 by each half", fewest, most, half)
+		if fewest < 2 || most > 4 {
+			t.Errorf("%d to %d nodes at an executor, 2 to 4 are promised", fewest, most)
+		}
+	}
+	whole()
+	gossips(func(r *rig.Relay) { r.Cut(rig.There); r.Cut(rig.Back) })
+	settle(b, b.Nodes, 4)
+	if _, _, half := look(); half != [2]int{30, 30} {
+		t.Errorf("the halves use %v executors, of 30", half)
+	}
+	gossips(func(r *rig.Relay) { r.Heal(); r.Reset() })
+	from := b.Now()
+	settle(b, b.Nodes, 8)
+	t.Logf("divided together again after %v", time.Duration(b.Now()-from))
+	whole()
+	for i, statuses := range b.each() {
+		if statuses[0] > 0 || statuses[200] < 100 {
+			t.Errorf("%s: answers %v", b.Nodes[i].Name, statuses)
+		}
+	}
+}
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -141,8 +141,9 @@
 	for _, e := range l.Entries {
 		m := n.members[e.ID]
 		if m == nil {
-			m = &member{executor: &dispatch.Executor{Tag: e.ID, Mark: dispatch.Mark(e.ID)}}
+			m = &member{executor: &dispatch.Executor{Tag: e.ID, Mark: dispatch.Mark(e.ID), Far: n.beyond}}
 			n.members[e.ID] = m
+			n.other()
 		}
 		if e.Address != "" {
 			m.address = e.Address
@@ -156,10 +157,44 @@
 	for id, m := range n.members {
 		if m.executor.State == dispatch.Gone {
 			delete(n.members, id)
+			n.other()
 		}
 	}
 }
 
+func (n *Node) other() {
+	select {
+	case n.relisted <- struct{}{}:
+	default:
+	}
+}
+
+// Relisted comes when other executors are listed than were when it came last.
+func (n *Node) Relisted() <-chan struct{} { return n.relisted }
+
+// Entries are the executors that are listed, as discovery told them last.
+func (n *Node) Entries() (entries []protocol.Entry) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, id := range slices.Sorted(maps.Keys(n.members)) {
+		entries = append(entries, n.members[id].entry)
+	}
+	return entries
+}
+
+// Place has the module use executors by how far they are from this node; those listed later come after the near ones until they are
+// placed. Danger: a new executor that all nodes use at once.
+func (n *Node) Place(far map[string]int) {
+	n.event(func() {
+		n.beyond = 1
+		for id, m := range n.members {
+			if at, is := far[id]; is {
+				m.executor.Far = at
+			}
+		}
+	})
+}
+
 // present is an executor as the module is told of it: a banned one drains, whatever discovery says.
 func (n *Node) present(m *member) dispatch.Member {
 	e := &m.entry
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -78,6 +78,8 @@
 	lives      map[*dispatch.Txn]*life                  // txns without a final answer
 	out        map[*dispatch.Posting]context.CancelFunc // postings without an outcome
 	watch      chan bool                                // what the module wants of the list, at most one order
+	relisted   chan struct{}                            // there are other executors than were; at most one word of it
+	beyond     int                                      // how far an executor is that was just listed
 }
 
 // member is an executor of the list with its present address.
@@ -90,7 +92,7 @@
 // New starts the module on the list as it was last known. purse is nil where nodes share nothing.
 func New(terms *dispatch.Terms, seed uint64, known *protocol.List, c Carrier, probe time.Duration, l Lister, purse Purse, log zerolog.Logger) *Node {
 	n := &Node{terms: terms, carrier: c, probe: probe, lister: l, known: known, log: log, start: time.Now(), till: math.MaxInt64, members: map[string]*member{}, listedOnce: map[string]bool{},
-		news: make(chan struct{}), ids: [2]map[string]bool{{}, {}}, lives: map[*dispatch.Txn]*life{}, out: map[*dispatch.Posting]context.CancelFunc{}, watch: make(chan bool, 1), turn: make(chan Lister, 1)}
+		news: make(chan struct{}), ids: [2]map[string]bool{{}, {}}, lives: map[*dispatch.Txn]*life{}, out: map[*dispatch.Posting]context.CancelFunc{}, watch: make(chan bool, 1), turn: make(chan Lister, 1), relisted: make(chan struct{}, 1)}
 	n.heard = n.news
 	if n.purse = purse; purse != nil {
 		own := *terms
