Cold executors go by whose turn it is, not by how far they are; subsets in the emulator

The few nodes whose turn it was at a cold executor were not those that it was near to (draw: step += 6 * farther).

Change: Terms.farther leaves cold executors out. The emulator divides executors with the same code, and counts connections held. subset.Divide works a table out once for all nodes that ask.

--- a/cmd/fernlab/emulate.go
+++ b/cmd/fernlab/emulate.go
@@ -21,6 +21,7 @@
 	Scenario string `arg:"" type:"existingfile" help:"A scenario; docs/emulator.md has its keys, example/scenarios some of them."`
 	Seed     uint64 `default:"1" help:"Of all that is drawn. The same scenario and seed give the same log to the byte."`
 	Policy   string `default:"module" help:"What decides on the nodes: module, random, round-robin, least, two-choices, or truth, which sees all."`
+	Subset   int    `default:"-1" help:"In place of the scenario's subset.size: executors that a node uses; 0: all."`
 	Budgets  string `help:"In place of the scenario's leases.mode: turns, leased, alone, or all, where one sees what all send."`
 	Log      string `help:"Where the event log goes, for fernlab judge."`
 	Max      int    `default:"5" help:"How many breaches are told of."`
@@ -50,8 +51,13 @@
 	if err != nil {
 		return verdict{err, 2}
 	}
+	if c.Subset >= 0 {
+		s.Subset.Size = c.Subset
+	}
 	if c.Budgets != "" {
 		s.Leases.Mode = c.Budgets
+	}
+	if c.Budgets != "" || c.Subset >= 0 {
 		if err := s.Check(); err != nil {
 			return verdict{fmt.Errorf("%s: %w", c.Scenario, err), 2}
 		}
@@ -88,8 +94,8 @@
 	for _, name := range judge.Names(f.Tenants) {
 		fmt.Fprintf(out, "  tenant %-12s %.4f in time\n", name, f.Tenants[name].Share())
 	}
-	fmt.Fprintf(out, "  waits: half %v, 99 of 100 %v; %d tries, %d postings, %d declined, %d reversed, %d handshakes\n",
-		time.Duration(f.At(0.5)).Round(time.Millisecond), time.Duration(f.At(0.99)).Round(time.Millisecond), f.Tries, f.Postings, f.Declined, f.Reversed, report.Handshakes)
+	fmt.Fprintf(out, "  waits: half %v, 99 of 100 %v; %d tries, %d postings, %d declined, %d reversed, %d handshakes, %.0f connections held\n",
+		time.Duration(f.At(0.5)).Round(time.Millisecond), time.Duration(f.At(0.99)).Round(time.Millisecond), f.Tries, f.Postings, f.Declined, f.Reversed, report.Handshakes, report.Held)
 	fmt.Fprintf(out, "  work done %.1f of %.1f asked for; effects run twice %d; cold executors pushed over %d; %d events in %v\n",
 		report.Work, report.Offered, report.Twice, report.Fallen, report.Events, time.Since(began).Round(time.Millisecond))
 	fmt.Fprintf(out, "  budgets %s: %.1f of work sent to cold executors, %d calls for leases\n", s.Leases.Mode, report.Cold, report.Calls)
--- a/cmd/fernrail/subset.go
+++ b/cmd/fernrail/subset.go
@@ -21,7 +21,7 @@
 				executors[i].Size = e.Units
 			}
 		}
-		far, near := subset.Far(d.config.Name, nodes, executors, *d.config.Fleet.Subset), 0
+		far, near := subset.Divide(append(nodes, d.config.Name), executors, *d.config.Fleet.Subset).Far(d.config.Name), 0
 		for _, at := range far {
 			if at == 0 {
 				near++
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -471,7 +471,7 @@
 			step += 3
 		}
 		// Danger: of many nodes each holds connections to all. What is beyond this one's part comes after the rest.
-		step += 6 * float64(t.farther(e))
+		step += 6 * float64(d.terms.farther(t, e, d.now))
 		e.wait = step*1e9 - math.Log(1-d.chance.Float64())/d.weight(t, e)
 		if i, _ := slices.BinarySearchFunc(d.drawn, e, byWait); i < count {
 			d.drawn = slices.Insert(d.drawn, i, e)
--- a/dispatch/shares_test.go
+++ b/dispatch/shares_test.go
@@ -169,4 +169,11 @@
 	if homes := used(7); homes[2] == 0 {
 		t.Errorf("with homes: %v", homes)
 	}
+	// Danger: the few nodes that may send to a cold one are not those that it is near to.
+	w.fleet[3].Since = w.now - 1
+	w.list(true)
+	w.pass(2 * terms.Fall)
+	if cold := used(0); cold[2] == 0 {
+		t.Errorf("far and cold, and in turn: %v", cold)
+	}
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -227,9 +227,10 @@
 	return nil
 }
 
-// farther is how far an executor is from this node for the txn; one that has homes goes by these.
-func (t *Txn) farther(e *Executor) int {
-	if t.Key != 0 {
+// farther is how far an executor is from this node for a txn; one that has homes goes by these.
+// Danger: few nodes at a time may send to a cold one, and those that it is near to are other ones.
+func (t *Terms) farther(x *Txn, e *Executor, now int64) int {
+	if x.Key != 0 || e.Far == 0 || t.warmth(e, now) < 1 {
 		return 0
 	}
 	return e.Far
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -202,6 +202,9 @@
 		}
 		s.Faults = append(s.Faults, f)
 	}
+	if r.IntN(2) == 0 {
+		s.Subset = Subset{Size: 1 + r.IntN(s.Fleet.Executors), Cover: 1, Notice: Span(5e8)}
+	}
 	return s
 }
 
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -88,6 +88,7 @@
 	n.decider = n.policy(terms, seed+uint64(n.index)*1e9+uint64(n.lives), n, w.now, truth)
 	n.watches = true
 	n.listed()
+	w.regroup()
 }
 
 func (n *node) kill() {
@@ -96,6 +97,7 @@
 	}
 	n.up = false
 	n.lives++
+	n.world.regroup()
 	n.world.log(judge.Event{Kind: judge.Killed, Node: n.name})
 	inOrder := make([]*held, 0, len(n.txns))
 	for _, h := range n.txns {
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"reflect"
@@ -43,6 +44,7 @@
 	Tenant []Tenant `toml:"tenant"`
 	Faults []Fault  `toml:"fault"`
 	Leases Leases   `toml:"leases"`
+	Subset Subset   `toml:"subset"`
 }
 
 // Fleet is how many there are of what, spread evenly over the zones.
@@ -150,7 +152,7 @@
 
 // Read reads a scenario and checks it; an error names the place.
 func Read(text []byte) (*Scenario, error) {
-	s := &Scenario{Warm: Span(5e9), Leases: Leases{Mode: "turns", Lease: Span(3e9), Margin: 0.05},
+	s := &Scenario{Warm: Span(5e9), Subset: Subset{Cover: 3, Notice: Span(1e9)}, Leases: Leases{Mode: "turns", Lease: Span(3e9), Margin: 0.05},
 		Fleet: Fleet{Zones: []string{"a"}, Tick: Span(1e6)},
 		Net:   Net{Same: Span(2e5), Cross: Span(1e6), Jitter: 0.1, Dial: Span(25e7), Idle: Span(10e9)},
 		Lists: Lists{Notice: Span(1e9), Spread: Span(1e8)},
@@ -295,7 +297,7 @@
 		want(f.Tenant == "" || slices.ContainsFunc(s.Tenant, func(c Tenant) bool { return c.Name == f.Tenant }), at+"tenant", "%q is none", f.Tenant)
 	}
 	if err == nil {
-		err = s.Leases.check(s.Fleet.Nodes, s.Rules.Fall)
+		err = cmp.Or(s.Leases.check(s.Fleet.Nodes, s.Rules.Fall), s.Subset.check(s.Fleet.Executors))
 	}
 	return err
 }
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -38,6 +38,8 @@
 	taken            int
 	fallen, messages int
 	handshakes       int
+	looks, held      int     // at connections; how many there were in all of them
+	regroups         bool    // a division of executors is due
 	busy             float64 // work done
 	cold             float64 // work sent to cold executors
 	offered          float64 // work that first tries ask for
@@ -54,6 +56,7 @@
 	Txns       int     // taken by nodes, later tries among them
 	Postings   int     //
 	Handshakes int     //
+	Held       float64 // connections, the mean over time
 	Fallen     int     // cold executors that were pushed over
 	Work       float64 // slots times seconds that executors did
 	Offered    float64 // the same, of first tries
@@ -89,6 +92,7 @@
 		w.schedule(&s.Faults[i])
 	}
 	w.clients()
+	w.after(int64(s.Warm), w.open)
 	end := epoch + int64(s.Length)
 	w.run(end)
 	longest := Span(0)
@@ -96,7 +100,7 @@
 		longest = max(longest, c.Expiry)
 	}
 	w.run(end + int64(longest) + int64(1e9))
-	r := Report{Events: w.done, Txns: w.taken, Postings: w.postings, Handshakes: w.handshakes, Fallen: w.fallen, Work: w.busy / 1e9}
+	r := Report{Events: w.done, Txns: w.taken, Postings: w.postings, Handshakes: w.handshakes, Held: float64(w.held) / float64(max(w.looks, 1)), Fallen: w.fallen, Work: w.busy / 1e9}
 	for _, n := range w.effects {
 		r.Twice += n - 1
 	}
--- a/internal/fleet/subset/subset.go
+++ b/internal/fleet/subset/subset.go
@@ -31,35 +31,59 @@
 // either way, or by less than one where that is more: nodes can't be cut up.
 const Spread = 1.15
 
-// Far is how far away executors are, by name: 0 for those that the node is to use, 1 for as many again that it turns to first
-// when those can't serve, 2 for twice as many, and so on. A node that is not among the nodes is counted in.
-func Far(me string, nodes []string, executors []Executor, t Terms) map[string]int {
-	nodes = slices.Compact(slices.Sorted(slices.Values(append(slices.Clone(nodes), me))))
-	at, _ := slices.BinarySearch(nodes, me)
+// Division is who uses what.
+type Division struct {
+	nodes []string
+	parts []part
+}
+
+// part is the division of one class.
+type part struct {
+	members []Executor
+	each    int      // executors that a node uses
+	table   [][]bool // by node and executor
+}
+
+// Divide works out who uses what. Nodes and executors may come in any order, nodes more than once.
+func Divide(nodes []string, executors []Executor, t Terms) *Division {
+	d := &Division{nodes: slices.Compact(slices.Sorted(slices.Values(nodes)))}
 	classes := map[class][]Executor{}
 	for _, e := range executors {
 		c := class{e.Zone, e.Kind, e.Cell}
 		classes[c] = append(classes[c], e)
 	}
-	far := map[string]int{}
 	for _, members := range classes {
 		slices.SortFunc(members, func(a, b Executor) int { return cmp.Compare(a.Name, b.Name) })
-		table, each := divide(nodes, members, t.each(len(nodes), len(members), len(executors)), t.Cover)
-		// Danger: what is crowded for many sends them all to the same next one. Each has an order of its own.
-		rest := make([]int, 0, len(members))
-		for i := range members {
-			if table[at][i] {
-				far[members[i].Name] = 0
+		table, each := divide(d.nodes, members, t.each(len(d.nodes), len(members), len(executors)), t.Cover)
+		d.parts = append(d.parts, part{members, each, table})
+	}
+	return d
+}
+
+// Far is how far away executors are from one of the nodes, by name: 0 for those that it is to use, 1 for as many again that it
+// turns to first when those can't serve, 2 for twice as many, and so on.
+func (d *Division) Far(node string) map[string]int {
+	far := map[string]int{}
+	at, is := slices.BinarySearch(d.nodes, node)
+	if !is {
+		return far
+	}
+	for _, p := range d.parts {
+		rest := make([]int, 0, len(p.members))
+		for i := range p.members {
+			if p.table[at][i] {
+				far[p.members[i].Name] = 0
 			} else {
 				rest = append(rest, i)
 			}
 		}
-		mine := mark(me)
+		// Danger: what is crowded for many sends them all to the same next one. Each has an order of its own.
+		mine := mark(node)
 		slices.SortFunc(rest, func(a, b int) int {
-			return cmp.Compare(luck(mine, mark(members[a].Name)), luck(mine, mark(members[b].Name)))
+			return cmp.Compare(luck(mine, mark(p.members[a].Name)), luck(mine, mark(p.members[b].Name)))
 		})
 		for n, i := range rest {
-			far[members[i].Name] = 1 + int(math.Log2(float64(n/each+1)))
+			far[p.members[i].Name] = 1 + int(math.Log2(float64(n/p.each+1)))
 		}
 	}
 	return far
--- a/internal/fleet/subset/subset_test.go
+++ b/internal/fleet/subset/subset_test.go
@@ -66,7 +66,7 @@
 	uses := map[string]map[string]bool{}
 	for _, n := range h.nodes {
 		uses[n] = map[string]bool{}
-		for name, far := range Far(n, view(n), h.executors, h.terms) {
+		for name, far := range Divide(append(slices.Clone(view(n)), n), h.executors, h.terms).Far(n) {
 			if far == 0 {
 				uses[n][name] = true
 			}
@@ -209,7 +209,7 @@
 	}
 	nodes := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
 	counts := func(node string) (counts [8]int, first []string) {
-		for name, far := range Far(node, nodes, executors, Terms{Size: 8, Cover: 1}) {
+		for name, far := range Divide(nodes, executors, Terms{Size: 8, Cover: 1}).Far(node) {
 			if counts[far]++; far == 1 {
 				first = append(first, name)
 			}
@@ -238,7 +238,7 @@
 		}
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			for b.Loop() {
-				Far("n1", nodes, executors, Terms{20, 3})
+				Divide(nodes, executors, Terms{20, 3}).Far("n1")
 			}
 		})
 	}
