Signals: what many nodes saw of an executor reaches those that saw nothing, by a quorum

Change: internal/fleet/signals, free of I/O: counts of late jobs that fade, told as they stand, so that late, doubled and disordered news does no harm; a quorum of witnesses from two zones, and most of those who saw it, make an executor bad. The module reads Executor.Bad (standing), which an own job that ended well within a second beats.

--- a/cmd/fernrail/commands.go
+++ b/cmd/fernrail/commands.go
@@ -126,6 +126,12 @@
 	if s := f.Subset; s != nil {
 		fmt.Fprintf(out, "\nuses %d of %d executors, divided among %d nodes\n", s.Near, s.Listed, s.Nodes)
 	}
+	if s := f.Signals; s != nil {
+		fmt.Fprintln(out, "\nexecutors that many nodes say are bad, from 0 to 1:")
+		for _, e := range slices.Sorted(maps.Keys(s.Bad)) {
+			fmt.Fprintf(out, "  %s %.2f\n", e, s.Bad[e])
+		}
+	}
 	if s := f.Seat; s != nil {
 		fmt.Fprintf(out, "\nseat %s: %s; granter %s, epoch %d, seats %s %s\n\n", s.ID, s.State, s.Granter, s.Epoch, strings.Join(s.Seats, " "), s.Fault)
 		fmt.Fprintln(t, "budget\twhole\tfloors\tgranted\tresting\tfree\t")
--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -88,6 +88,9 @@
 	defer cancel()
 	go desk.node.Follow(follow)
 	go desk.keepUp(follow)
+	if share != nil && c.Fleet.Quorum > 0 {
+		go share.Tell(follow, desk.node.Lists, desk.node.Doubt)
+	}
 	if share != nil && c.Fleet.Subset != nil {
 		go desk.divide(follow)
 	}
@@ -168,6 +171,9 @@
 		carrier.Dials(p.dial)
 	}
 	node := routing.New(c.Terms, c.Seed, c.Known, carrier, c.Probe, transport.NewDiscovery(c.Discovery, c.Names), held, log)
+	if share != nil && c.Fleet.Quorum > 0 {
+		node.Witness(share.Saw)
+	}
 	d := &desk{config: c, share: share, node: node, descriptors: descriptors, counters: counters, log: log,
 		server: transport.NewServer(descriptors, c.Names, node.Serve, node.Ready, counters, log)}
 	// Danger: looks at files many times a second, at a node that has no operators and no second process.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -42,6 +41,7 @@
 	asks       = 4    // executors asked for room at a time; with one in two full, one in sixteen finds none
 	lefts      = 16   // latest txns of which one at least counts as a client's first try; some try three times
 	way        = 64   // part of an expiry that is left for the way to the client; ours must come before it goes
+	heed       = 1e9  // ns; for so long an own job that ended well beats what others say; news takes about that
 	askAgain   = 1e8  // ns, at most; that word of room counts, and until others are asked; some reports a second
 	keyCounts  = 256  // txns after which counts by key are halved; tells a tenth of all from a hundredth
 )
@@ -377,8 +377,17 @@
 	return 1 - (1-e.h)*math.Exp(-float64(d.now-e.hAt)/recovery)
 }
 
+// standing is H, or less where many other nodes say so and no job of this one ended well there of late.
+// Danger: old news that beats a fresh outcome; or each of many nodes finds out for itself, at its txns' cost.
+func (d *Dispatcher) standing(e *Executor) float64 {
+	if e.Bad > 0 && d.now-e.keptTill+d.terms.IdleClose > heed {
+		return min(d.health(e), 1-e.Bad)
+	}
+	return d.health(e)
+}
+
 // sick says whether the executor is left out while others remain.
-func (d *Dispatcher) sick(e *Executor) bool { return d.health(e) < leastH }
+func (d *Dispatcher) sick(e *Executor) bool { return d.standing(e) < leastH }
 
 // weight is the design's: mean score over the top score, times H; a cold executor counts by its age.
 func (d *Dispatcher) weight(t *Txn, e *Executor) float64 {
@@ -393,7 +402,7 @@
 	if t.Scheme.Kind < 0 && e.model.bound {
 		score *= leave
 	}
-	return max(score, 0.01) * d.health(e) * e.left
+	return max(score, 0.01) * d.standing(e) * e.left
 }
 
 // shut says whether so many slots more are over what an executor or a thing is thought to bear.
@@ -522,20 +531,6 @@
 
 func byWait(a, b *Executor) int { return cmp.Compare(a.wait, b.wait) }
 
-// count adds a txn to those about one thing; without a key that is its tenant.
-func (d *Dispatcher) count(t *Txn) {
-	if d.counted++; d.counted > keyCounts {
-		d.counted /= 2
-		maps.DeleteFunc(d.things, func(_ uint64, h *thing) bool { h.n /= 2; return h.n < 1 && h.busy == 0 })
-	}
-	key := cmp.Or(t.Key, ^uint64(t.Tenant))
-	if t.thing = d.things[key]; t.thing == nil {
-		t.thing = &thing{gate: gate{limit: math.Inf(1)}}
-		d.things[key] = t.thing
-	}
-	t.thing.n++
-}
-
 // post sends the txn and leaves behind what its outcome leads to.
 func (d *Dispatcher) post(t *Txn, e *Executor) {
 	p := &Posting{Txn: t, Executor: e, Number: len(t.Postings), Open: true, sent: d.now}
@@ -619,7 +614,7 @@
 		// Danger: what is taken back may run all the same, for nobody. Who stands still runs none of it; a list
 		// that tells of load promises room elsewhere.
 		late := d.terms.Live && d.now-p.sent >= d.slack(t, p.sent)/4
-		if left > 0 && !d.spanOver(t) && (p.started > 0 || late || d.health(p.Executor) < hopeless) {
+		if left > 0 && !d.spanOver(t) && (p.started > 0 || late || d.standing(p.Executor) < hopeless) {
 			d.withdraw(p)
 		}
 		return
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 )
@@ -259,7 +260,8 @@
 	Tag   string
 	Mark  uint64 // by chance, the same at all nodes
 	State State
-	Far   int // 0: one that this node is to use; else those of 1 come before those of 2, where the others can't serve
+	Bad   float64 // how bad many nodes together say that it is, from 0 to 1; 0: nothing is said
+	Far   int     // 0: one that this node is to use; else those of 1 come before those of 2, where the others can't serve
 
 	zone, kind, cell int
 	model            *model
@@ -361,6 +363,20 @@
 	bad  *Executor // where the last one ended badly, with none that ended well since
 }
 
+// count adds a txn to those about one thing; without a key that is its tenant.
+func (d *Dispatcher) count(t *Txn) {
+	if d.counted++; d.counted > keyCounts {
+		d.counted /= 2
+		maps.DeleteFunc(d.things, func(_ uint64, h *thing) bool { h.n /= 2; return h.n < 1 && h.busy == 0 })
+	}
+	key := cmp.Or(t.Key, ^uint64(t.Tenant))
+	if t.thing = d.things[key]; t.thing == nil {
+		t.thing = &thing{gate: gate{limit: math.Inf(1)}}
+		d.things[key] = t.thing
+	}
+	t.thing.n++
+}
+
 // Mark turns a name that all nodes know an executor by into a number by chance that all of them share.
 func Mark(name string) uint64 {
 	h := fnv.New64a()
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -30,6 +30,8 @@
 	Join   []string          // where others do, some of them
 	Routes map[string]string // addresses that this node reaches by another one
 	Subset *subset.Terms     // nil: each node uses all executors
+	Quorum int               // of witnesses that shut an executor out; 0: nodes do not tell of executors
+	Zone   string            // of this node; empty: the settings name none
 }
 
 // Budgets that can be held together, by the names that the file gives them.
@@ -101,6 +103,22 @@
 			return nil, fmt.Errorf("fleet.subset: without fleet.gossip no node knows of others")
 		}
 	}
+	if z := n.Terms.Zone; z >= 0 && z < len(n.Names.Zones) {
+		f.Zone = n.Names.Zones[z]
+	}
+	if _, told := flat["fleet.signals.quorum"]; told {
+		f.Quorum = int(r.whole("fleet.signals.quorum", 0, 2))
+		switch {
+		case r.err != nil:
+			return nil, r.err
+		case f.Gossip == "":
+			return nil, fmt.Errorf("fleet.signals: without fleet.gossip nodes hear nothing of each other")
+		case f.Zone == "":
+			return nil, fmt.Errorf("fleet.signals: settings.MyZone and settings.Dcs name no zone, so that this node is no witness")
+		case int64(f.Quorum) > f.Pact.Most:
+			return nil, fmt.Errorf("fleet.signals.quorum: %d is more than all nodes, fleet.most", f.Quorum)
+		}
+	}
 	count := int(r.whole("fleet.seats.count", 0, 0))
 	for i := range count {
 		at := "fleet.seats." + strconv.Itoa(i)
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -73,6 +73,13 @@
 			f["subset"] = map[string]any{"size": 1}
 			file["settings"].(map[string]any)["Dcs"] = []any{"home", "away"}
 		},
+		"fleet.signals.quorum: 9 is": func(_, f map[string]any) { f["signals"] = map[string]any{"quorum": 9} },
+		"fleet.signals.quorum":       func(_, f map[string]any) { f["signals"] = map[string]any{"quorum": 1} },
+		"fleet.signals: settings.My": func(file, f map[string]any) {
+			f["signals"] = map[string]any{"quorum": 3}
+			delete(file["settings"].(map[string]any), "Dcs")
+			delete(file, "known")
+		},
 		"fleet.subset: without fle": func(_, f map[string]any) {
 			f["subset"] = map[string]any{"size": 3}
 			delete(f, "gossip")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,6 +44,7 @@
 	calls *calls
 	kick  chan struct{}
 	news  chan struct{} // of members
+	board *board        // nil: nodes do not tell of executors
 	all   sync.WaitGroup
 	stop  context.CancelFunc
 
@@ -83,6 +84,9 @@
 		}
 	}
 	f.calls = newCalls(plan)
+	if plan.Quorum > 0 {
+		f.board = newBoard(name, plan, clock)
+	}
 	if own := plan.Seat(name); own != nil {
 		l, err := net.Listen("tcp", plan.Listen)
 		// Danger: another process of this node has the seat, as in an upgrade; this one takes it once that one has left.
@@ -97,7 +101,7 @@
 		}
 	}
 	if plan.Gossip != "" {
-		m, err := meet(ctx, name, plan, f.told, f.log)
+		m, err := meet(ctx, name, plan, f.told, f.hear(), f.log)
 		if err != nil && beside {
 			f.all.Go(func() { f.meetLater(ctx) })
 		} else if err != nil {
@@ -135,7 +139,7 @@
 // meetLater waits for the address at which another process of this node still hears who is there.
 func (f *Fleet) meetLater(ctx context.Context) {
 	later(ctx, func() bool {
-		m, err := meet(ctx, f.name, f.plan, f.told, f.log)
+		m, err := meet(ctx, f.name, f.plan, f.told, f.hear(), f.log)
 		if err != nil {
 			return false
 		}
@@ -502,6 +506,7 @@
 	Budgets map[string]Standing `json:"budgets"`
 	Members []MemberFigures     `json:"members,omitempty"`
 	Subset  *SubsetFigures      `json:"subset,omitempty"`
+	Signals *SignalFigures      `json:"signals,omitempty"`
 	Seat    *SeatFigures        `json:"seat,omitempty"`
 }
 
@@ -539,6 +544,9 @@
 	if members != nil {
 		out.Members = members.read()
 	}
+	if f.board != nil {
+		out.Signals = f.board.read()
+	}
 	if seat != nil {
 		out.Seat = seat.read()
 	}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -29,7 +29,9 @@
 	list *memberlist.Memberlist
 	all  sync.WaitGroup
 	stop context.CancelFunc
-	told func() // of each change
+	told func()       // of each change
+	hear func([]byte) // what others say of executors; nil: that is off
+	says memberlist.TransmitLimitedQueue
 
 	mu        sync.Mutex
 	there     map[string]string // by name: the addresses of those that are there, copied as the library tells of them
@@ -42,9 +44,9 @@
 const rejoin = 10
 
 // meet takes part in the gossip.
-func meet(ctx context.Context, name string, plan *config.Fleet, told func(), log zerolog.Logger) (*members, error) {
+func meet(ctx context.Context, name string, plan *config.Fleet, told func(), hear func([]byte), log zerolog.Logger) (*members, error) {
 	ctx, stop := context.WithCancel(ctx)
-	m := &members{name: name, plan: plan, log: log, stop: stop, told: told, there: map[string]string{}, gone: map[string]string{}, conflicts: map[string]string{}}
+	m := &members{name: name, plan: plan, log: log, stop: stop, told: told, hear: hear, there: map[string]string{}, gone: map[string]string{}, conflicts: map[string]string{}}
 	host, port, err := net.SplitHostPort(plan.Gossip)
 	if err != nil {
 		stop()
@@ -65,6 +67,14 @@
 	c.TCPTimeout = 4 * plan.Pace
 	c.LogOutput = &logged{log, "gossip", rate.NewLimiter(1, 2)}
 	c.Events, c.Conflict = m, m
+	if hear != nil {
+		c.Delegate, c.GossipInterval = m, plan.Pace/3 // news of failures goes two or three nodes far, each in its turn
+	}
+	m.says.RetransmitMult, m.says.NumNodes = 2, func() int {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return max(len(m.there), 1)
+	}
 	inner, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: c.BindPort, Logger: nil})
 	if err != nil {
 		stop()
@@ -140,6 +150,30 @@
 	m.told()
 }
 
+// said is one piece of news of a node; it takes the place of the one before, told or not.
+type said struct {
+	node string
+	text []byte
+}
+
+func (s said) Invalidates(memberlist.Broadcast) bool { return false }
+func (s said) Name() string                          { return s.node }
+func (s said) Message() []byte                       { return s.text }
+func (s said) Finished()                             {}
+
+// say has a node's news go about with gossip, in place of its older ones. Danger: news without bound; what does not fit into gossip's
+// packets waits, and is overtaken.
+func (m *members) say(node string, text []byte) { m.says.QueueBroadcast(said{node, text}) }
+
+// NodeMeta implements memberlist.Delegate, as do the four after it.
+func (m *members) NodeMeta(int) []byte   { return nil }
+func (m *members) NotifyMsg(text []byte) { m.hear(text) }
+func (m *members) GetBroadcasts(overhead, limit int) [][]byte {
+	return m.says.GetBroadcasts(overhead, limit)
+}
+func (m *members) LocalState(bool) []byte                    { return nil }
+func (m *members) MergeRemoteState(text []byte, joined bool) {}
+
 // names of those that are there.
 func (m *members) names() []string {
 	m.mu.Lock()
--- /dev/null
+++ b/internal/fleet/signals/signals.go
@@ -0,0 +1,243 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package signals adds up what many nodes saw of executors of late, so that what many see together reaches a node that saw nothing,
+// and nobody is condemned by one witness. It is free of I/O and of clocks. docs/fleet.md says what is promised.
+package signals
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+const (
+	// fade is the time constant, in ns, by which what was seen counts less; some times what news takes to get about.
+	fade = 5e9
+	// remember is what a job leaves of those before it. Danger: what went well for long hides that it fails now, and as nobody sends
+	// there any more it stays hidden.
+	remember = 0.3
+	// enough is how many jobs of late make a witness count in full.
+	enough = 1
+	// majority of voices, from which an executor counts as bad at all, and in full from a fifth more; also the share of a witness's
+	// own jobs that makes its voice one of these.
+	majority = 0.5
+	// mostTold bounds what one piece of news holds, and mostKept what is kept of one witness.
+	mostTold, mostKept = 24, 256
+	// mostJobs bounds what is believed of one node's jobs at one executor.
+	mostJobs = 1e6
+	// least is what has faded away.
+	least = 0.05
+)
+
+// Count is what a node saw of one executor of late: jobs that were answered or failed, and those that failed.
+type Count struct {
+	Tried  float64 `json:"t"`
+	Failed float64 `json:"f"`
+	at     int64
+}
+
+func (c *Count) fade(now int64) *Count {
+	f := math.Exp(-float64(max(now-c.at, 0)) / fade)
+	c.Tried, c.Failed, c.at = c.Tried*f, c.Failed*f, now
+	return c
+}
+
+// News is what one node tells: how its counts stand, not what changed. So it may come late, twice and in any order: the
+// latest of a node holds.
+type News struct {
+	Node string           `json:"n"`
+	Zone string           `json:"z"`
+	Life int64            `json:"l"` // of its process: a later one has a larger number
+	Seq  uint64           `json:"s"`
+	Seen map[string]Count `json:"e"` // by executor
+}
+
+// Board is what one node knows.
+type Board struct {
+	quorum  float64
+	own     witness
+	others  map[string]*witness
+	told    map[string]bool // of these the others were told something bad
+	Dropped int64           // news, or parts of it, that were not taken
+}
+
+type witness struct {
+	News
+	seen map[string]*Count
+}
+
+// New begins with nothing seen. Quorum is how many witnesses it takes to shut an executor out, two at least; where there is
+// more than one zone they are of two at least.
+func New(node, zone string, life int64, quorum int) *Board {
+	return &Board{quorum: float64(max(quorum, 2)), own: witness{News{Node: node, Zone: zone, Life: life}, map[string]*Count{}},
+		others: map[string]*witness{}, told: map[string]bool{}}
+}
+
+// Saw notes how a job of this node's ended.
+func (b *Board) Saw(executor string, failed bool, now int64) {
+	c := b.own.seen[executor]
+	if c == nil {
+		if len(b.own.seen) >= mostKept {
+			b.own.tidy(now)
+		}
+		c = &Count{at: now}
+		b.own.seen[executor] = c
+	}
+	c.fade(now)
+	if c.Tried, c.Failed = c.Tried*remember+1, c.Failed*remember; failed {
+		c.Failed++
+	}
+}
+
+// tidy forgets what has faded, and the least of the rest if that is too much.
+func (w *witness) tidy(now int64) {
+	names := make([]string, 0, len(w.seen))
+	for name, c := range w.seen {
+		if c.fade(now).Tried < least {
+			delete(w.seen, name)
+		} else {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(x, y string) int {
+		return cmp.Or(cmp.Compare(w.seen[y].Tried, w.seen[x].Tried), cmp.Compare(x, y))
+	})
+	for _, name := range names[min(len(names), mostKept-1):] {
+		delete(w.seen, name)
+	}
+}
+
+// Tell gives what the others should know: executors that failed this node of late, worst first, those that another says so of and that
+// this node saw too, and those that were told of before, so many at most; nil: nothing. Calm fleets are silent.
+func (b *Board) Tell(now int64, most int) *News {
+	var names []string
+	for name, c := range b.own.seen {
+		doubted := slices.ContainsFunc(b.sorted(), func(w *witness) bool {
+			s := w.seen[name]
+			return s != nil && s.fade(now).Failed > least
+		})
+		if c.fade(now); c.Tried >= least && (c.Failed >= least || doubted || b.told[name]) {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		clear(b.told)
+		return nil
+	}
+	slices.SortFunc(names, func(x, y string) int {
+		return cmp.Or(cmp.Compare(b.own.seen[y].Failed, b.own.seen[x].Failed), cmp.Compare(x, y))
+	})
+	b.own.Seq++
+	n := b.own.News
+	n.Seen = map[string]Count{}
+	clear(b.told)
+	for _, name := range names[:min(len(names), most, mostTold)] {
+		c := b.own.seen[name]
+		n.Seen[name] = Count{Tried: math.Round(c.Tried*100) / 100, Failed: math.Round(c.Failed*100) / 100}
+		b.told[name] = true
+	}
+	return &n
+}
+
+// Hear takes another's news; listed says which executors there are. False: it was not taken, or told nothing new.
+// Danger: news of another node's past, or without bound.
+func (b *Board) Hear(n *News, listed func(string) bool, now int64) bool {
+	if n.Node == b.own.Node {
+		return false // its own, come back
+	}
+	if n.Node == "" || len(n.Seen) > mostTold {
+		b.Dropped++
+		return false
+	}
+	w := b.others[n.Node]
+	if w != nil && (n.Life < w.Life || n.Life == w.Life && n.Seq <= w.Seq) {
+		return false
+	}
+	was := map[string]*Count{}
+	if w != nil && w.Life == n.Life {
+		was = w.seen // what it does not tell of any more fades
+	}
+	w = &witness{*n, was}
+	b.others[n.Node] = w
+	for name, c := range n.Seen {
+		if !(c.Failed >= 0 && c.Failed <= c.Tried && c.Tried <= mostJobs) || !listed(name) {
+			b.Dropped++
+			continue
+		}
+		w.seen[name] = &Count{c.Tried, c.Failed, now}
+	}
+	w.tidy(now)
+	return true
+}
+
+// Lost forgets a witness that has gone.
+func (b *Board) Lost(node string) { delete(b.others, node) }
+
+func (b *Board) sorted() []*witness {
+	all := make([]*witness, 0, len(b.others)+1)
+	for _, w := range b.others {
+		all = append(all, w)
+	}
+	slices.SortFunc(all, func(x, y *witness) int { return cmp.Compare(x.Node, y.Node) })
+	return all
+}
+
+// Bad is how bad many say that an executor is, from 0: nothing is said, or by one alone, to 1: a quorum and most of those who saw it
+// do. Each witness has one voice, or a part of one that saw little; half of a quorum may be of one zone.
+//
+// Danger: a node whose own link is bad, or that lies, shuts an executor out for all; or by saying that it is well keeps one in.
+func (b *Board) Bad(executor string, now int64) float64 {
+	voices, bad := 0.0, 0.0
+	zones, zoned := map[string]float64{}, map[string]bool{}
+	for _, w := range append(b.sorted(), &b.own) {
+		zoned[w.Zone] = true
+		c := w.seen[executor]
+		if c == nil || c.fade(now).Tried < least {
+			continue
+		}
+		voice := min(c.Tried/enough, 1)
+		if voices += voice; c.Failed > majority*c.Tried {
+			zones[w.Zone], bad = zones[w.Zone]+voice, bad+voice
+		}
+	}
+	if voices == 0 || bad/voices <= majority {
+		return 0
+	}
+	counted := bad
+	if len(zoned) > 1 {
+		counted = 0
+		for _, z := range zones {
+			counted += min(z, b.quorum/2)
+		}
+	}
+	return min((bad/voices-majority)/(majority/5), 1) * min(max((counted-1)/(b.quorum-1), 0), 1)
+}
+
+// Doubted are the executors that somebody saw fail of late.
+func (b *Board) Doubted(now int64) []string {
+	names := map[string]bool{}
+	for _, w := range append(b.sorted(), &b.own) {
+		for name, c := range w.seen {
+			if c.fade(now).Failed >= least {
+				names[name] = true
+			}
+		}
+	}
+	out := make([]string, 0, len(names))
+	for name := range names {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Keep forgets executors that are not listed any more.
+func (b *Board) Keep(listed func(string) bool) {
+	for _, w := range append(b.sorted(), &b.own) {
+		for name := range w.seen {
+			if !listed(name) {
+				delete(w.seen, name)
+			}
+		}
+	}
+}
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -211,6 +211,15 @@
 	return sum
 }
 
+// stop ends all nodes, where one test has several fleets.
+func (b *busy) stop() {
+	for _, n := range b.Nodes {
+		if n.Running() {
+			n.Kill()
+		}
+	}
+}
+
 // over ends the traffic and checks what arrived, over all that happened.
 func (b *busy) over(t *testing.T, least int) {
 	t.Helper()
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -137,8 +137,8 @@
 	rig     *Rig
 
 	mu       sync.Mutex
-	shuns    string  // the node whose jobs break off
-	Accepted []int64 // when connections were accepted
+	shuns    func(node string) bool // whose jobs break off; nil: nobody's
+	Accepted []int64                // when connections were accepted
 	Jobs     []Job
 }
 
@@ -209,7 +209,7 @@
 	e.mu.Lock()
 	cost, _ := strconv.ParseInt(q.Header.Get("X-Call-Cost"), 10, 64)
 	job := len(e.Jobs)
-	shunned := e.shuns != "" && strings.Contains(id, "-"+e.shuns+"-")
+	shunned := e.shuns != nil && e.shuns(Sender(id))
 	e.Jobs = append(e.Jobs, Job{At: at, ID: id, Work: time.Duration(cost) * time.Microsecond, From: q.Header.Get("X-Caller")})
 	e.mu.Unlock()
 	defer func() {
@@ -233,11 +233,19 @@
 	fmt.Fprintf(out, `{"id":%q,"from":%q,"state":"done","result":"r"}`+"\n", id, e.Name)
 }
 
-// Shun has the jobs of one node break off, as on a link that is bad; empty: of none.
-func (e *Executor) Shun(node string) {
+// Shun has the jobs of some nodes break off, as on links that are bad; nil: of none.
+func (e *Executor) Shun(whose func(node string) bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.shuns = node
+	e.shuns = whose
+}
+
+// Sender is the node that a job of Load went through, by its id.
+func Sender(id string) string {
+	if parts := strings.Split(id, "-"); len(parts) > 1 {
+		return parts[1]
+	}
+	return ""
 }
 
 // Noted gives what has arrived so far.
--- a/internal/rig/subset_test.go
+++ b/internal/rig/subset_test.go
@@ -3,7 +3,6 @@
 package rig_test
 
 import (
-	"strings"
 	"testing"
 	"time"
 
@@ -32,7 +31,7 @@
 		_, jobs := e.Noted()
 		from := map[string]bool{}
 		for j := len(jobs) - 1; j >= 0 && jobs[j].At >= since; j-- {
-			from[strings.Split(jobs[j].ID, "-")[1]] = true
+			from[rig.Sender(jobs[j].ID)] = true
 			counts[i]++
 		}
 		all += counts[i]
@@ -107,7 +106,7 @@
 	for _, e := range r.Executors {
 		_, jobs := e.Noted()
 		for j := len(jobs) - 1; j >= 0 && jobs[j].At >= since; j-- {
-			if strings.Contains(jobs[j].ID, "-"+node.Name+"-") {
+			if rig.Sender(jobs[j].ID) == node.Name {
 				used[e] = true
 			}
 		}
@@ -190,11 +189,11 @@
 		}))
 	}
 	for e := range near {
-		e.Shun(hurt.Name)
+		e.Shun(func(node string) bool { return node == hurt.Name })
 	}
 	check("broken off")
 	for e := range near {
-		e.Shun("")
+		e.Shun(nil)
 	}
 	back()
 	b.News(func(drained map[string]bool) {
--- a/internal/routing/life.go
+++ b/internal/routing/life.go
@@ -148,6 +148,14 @@
 		p.Free = e.Free
 		n.module.Ended(p, e.Outcome, n.clock()-sent, n.lives[p.Txn] == nil)
 	})
+	if n.witness != nil {
+		switch e.Outcome {
+		case dispatch.Settled:
+			n.witness(p.Executor.Tag, false)
+		case dispatch.Erred, dispatch.TimedOut, dispatch.Undialed, dispatch.Broken:
+			n.witness(p.Executor.Tag, true)
+		}
+	}
 	if e.Cause != nil && e.Outcome != dispatch.Revoked {
 		n.log.Debug().Err(e.Cause).Str("executor", p.Executor.Tag).Stringer("outcome", e.Outcome).Msg("posting ended")
 	}
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -141,7 +141,7 @@
 	for _, e := range l.Entries {
 		m := n.members[e.ID]
 		if m == nil {
-			m = &member{executor: &dispatch.Executor{Tag: e.ID, Mark: dispatch.Mark(e.ID), Far: n.beyond}}
+			m = &member{executor: &dispatch.Executor{Tag: e.ID, Mark: dispatch.Mark(e.ID), Far: n.beyond, Bad: n.doubted[e.ID]}}
 			n.members[e.ID] = m
 			n.other()
 		}
@@ -195,6 +195,19 @@
 	})
 }
 
+// Witness has each job's end told: whether its executor failed it. It is called before the node serves.
+func (n *Node) Witness(tell func(executor string, failed bool)) { n.witness = tell }
+
+// Doubt has the module know how bad many nodes say that executors are; nothing is said of the rest.
+func (n *Node) Doubt(bad map[string]float64) {
+	n.event(func() {
+		n.doubted = bad
+		for id, m := range n.members {
+			m.executor.Bad = bad[id]
+		}
+	})
+}
+
 // present is an executor as the module is told of it: a banned one drains, whatever discovery says.
 func (n *Node) present(m *member) dispatch.Member {
 	e := &m.entry
@@ -225,6 +238,13 @@
 	})
 }
 
+// Lists says whether an executor is in the list now.
+func (n *Node) Lists(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members[id] != nil
+}
+
 // Listed says whether an executor is in the list or ever was.
 func (n *Node) Listed(id string) bool {
 	n.mu.Lock()
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -79,6 +79,8 @@
 	out        map[*dispatch.Posting]context.CancelFunc // postings without an outcome
 	watch      chan bool                                // what the module wants of the list, at most one order
 	relisted   chan struct{}                            // there are other executors than were; at most one word of it
+	doubted    map[string]float64                       // how bad others say that executors are
+	witness    func(executor string, failed bool)       // hears how jobs ended; nil: nobody does
 	beyond     int                                      // how far an executor is that was just listed
 }
 
