--- a/dispatch/shares_test.go
+++ b/dispatch/shares_test.go
@@ -78,6 +78,50 @@
 
 func (w *watches) Watch(bool) { w.calls++ }
 
+// TestOthersWord: an executor that many say is bad is left out while others remain, but for a second after an own job ended well
+// there; when nothing is said any more it is drawn again. Danger: old news of others against what this node sees now.
+func TestOthersWord(t *testing.T) {
+	terms := basicTerms()
+	w := newWorld(t, 1, terms)
+	w.join(4, false)
+	for _, m := range w.fleet {
+		m.Zone, m.Kind = 0, 0
+	}
+	w.list(true)
+	said := w.fleet[0].Executor
+	used := func(span int64) (count int) {
+		for end := w.now + span; w.now < end; w.pass(1e7) {
+			w.arrive(0, 1, 1e6, 5e9)
+			for _, p := range w.open {
+				if p.Executor == said {
+					count++
+				}
+			}
+			w.settle()
+		}
+		return count
+	}
+	if used(2e9) == 0 {
+		t.Fatal("it is not used at all")
+	}
+	said.Bad = 1
+	used(11e8) // what it did well a moment ago counts for a second after the last of it
+	for n := 0; n < 100 && w.now-said.keptTill+terms.IdleClose <= heed; n++ {
+		w.pass(1e8)
+	}
+	if n := used(1e9); n > 0 {
+		t.Errorf("%d jobs though many say that it is bad", n)
+	}
+	said.keptTill = w.now + terms.IdleClose
+	if used(5e8) == 0 {
+		t.Error("an own job that ended well does not count")
+	}
+	said.Bad = 0
+	if used(1e9) == 0 {
+		t.Error("it is not used again")
+	}
+}
+
 // FuzzShares: whatever shares allow, the four rules hold, every txn is answered by its expiry, and nothing goes out that they
 // deny. Danger: a txn that waits for a share for ever, or a second way round the check.
 func FuzzShares(f *testing.F) {
