A fleet under test ends with the test's process, however that ends

Cause: a test binary that was ended by its closed output left nine nodes running for ten minutes; a later test found one of their ports taken (relay.go: address already in use). Clean-up by handle runs only where the test's process lives to do it.

Change: one thread of the rig starts all processes and lives as long as the test; the kernel kills them with it (Pdeathsig).

--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -17,6 +17,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -424,6 +425,31 @@
 	return text
 }
 
+// starts are processes to be started. All are by one thread that lives as long as this process.
+var starts = sync.OnceValue(func() chan func() {
+	all := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for start := range all {
+			start()
+		}
+	}()
+	return all
+})
+
+// start starts a process that the kernel ends when this one ends, however it does.
+// Danger: a test that is killed, or runs out of time, leaves fleets behind that take ports and processor time from the next.
+func start(p *exec.Cmd) (err error) {
+	p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // sent at the end of the thread that started it
+	done := make(chan struct{})
+	starts() <- func() {
+		err = p.Start()
+		close(done)
+	}
+	<-done
+	return err
+}
+
 // Start starts the node's process. It does not wait until it serves.
 func (n *Node) Start() {
 	n.rig.Helper()
@@ -442,7 +468,7 @@
 	p.Env = append(append(append(os.Environ(), n.rig.plan.Env...), n.Env...), "EDGE_CONFIG="+path, "EDGE_LOG=info", "TMPDIR="+n.dir, "EDGE_LISTEN_FD=3")
 	p.ExtraFiles = []*os.File{n.socket}
 	p.Stdout, p.Stderr = out, out
-	if err := p.Start(); err != nil {
+	if err := start(p); err != nil {
 		n.rig.Fatal(err)
 	}
 	ended := make(chan struct{})
