--- /dev/null
+++ b/cmd/fernlab/experiment_test.go
@@ -0,0 +1,63 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// TestExperiment: an experiment that was cut off in the middle of a line goes on where it stopped, and gives the same table as one
+// that was not, whatever the number of runs at a time.
+func TestExperiment(t *testing.T) {
+	dir := t.TempDir()
+	scenario, err := os.ReadFile("../../example/scenarios/troubles.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	file("s.toml", string(scenario))
+	plan := file("e.toml", "title = \"x\"\nscenarios = [\"s.toml\"]\nseeds = 2\n[[variant]]\nname = \"m\"\n[[variant]]\nname = \"l\"\npolicy = \"least\"\n")
+	play := func(out string, jobs int) (said, table string) {
+		t.Helper()
+		var b bytes.Buffer
+		c := trial{Plan: plan, Out: filepath.Join(dir, out), Jobs: jobs, Figures: []string{"in time", "postings"}}
+		c.play(&b) // what least in flight breaks is not the matter here
+		text, err := os.ReadFile(filepath.Join(c.Out, "table.md"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		chart, err := os.ReadFile(filepath.Join(c.Out, "s.toml.svg"))
+		if err != nil || !bytes.Contains(chart, []byte("<svg")) {
+			t.Errorf("no chart: %v", err)
+		}
+		return b.String(), string(text)
+	}
+	_, whole := play("a", 1)
+	if _, other := play("b", 4); other != whole || !strings.Contains(whole, "| l | 2 |") {
+		t.Errorf("%s\n%s", whole, other)
+	}
+	runs := filepath.Join(dir, "a", "runs.jsonl")
+	text, err := os.ReadFile(runs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	os.WriteFile(runs, text[:len(text)-20], 0o600)
+	if said, again := play("a", 2); again != whole || !strings.Contains(said, "4 runs, 1 of them to be played") {
+		t.Errorf("%s\n%s", said, again)
+	}
+	file("e.toml", "title = \"x\"\nscenarios = [\"s.toml\"]\nseeds = 2\n[[variant]]\nname = \"m\"\nsubset = 9999\n")
+	if err := (&trial{Plan: plan, Out: filepath.Join(dir, "c")}).play(io.Discard); err == nil || !strings.Contains(err.Error(), "variant m") {
+		t.Errorf("a variant that can't be: %v", err)
+	}
+}
