--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -14,7 +14,6 @@
 	"runtime"
 	"slices"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -191,13 +190,7 @@
 
 // each ends the traffic, and gives the statuses of the answers to each part of it.
 func (b *busy) each() []map[int]int {
-	statuses := make([]map[int]int, len(b.ends))
-	var all sync.WaitGroup
-	for i, end := range b.ends {
-		all.Go(func() { statuses[i] = end() })
-	}
-	all.Wait()
-	return statuses
+	return rig.End(b.ends)
 }
 
 // end ends the traffic, and gives the statuses of all its answers.
--- a/internal/rig/shares_test.go
+++ b/internal/rig/shares_test.go
@@ -22,12 +22,6 @@
 	})
 }
 
-// pass lets traffic run.
-func pass(r *rig.Rig, span time.Duration) {
-	from := r.Now()
-	r.Until("some time has passed", span+soon, func() bool { return r.Now()-from >= int64(span) })
-}
-
 // TestJobs: what one tenant has out at all executors together is never more than the whole, while a node is killed with its jobs
 // out, the granter is stopped and goes on, and jobs outlast their clients; the other tenant has as much for itself. What a job
 // that ended took is used again at once. Nodes that share nothing have several times as much out: the count can fail.
@@ -61,14 +55,14 @@
 				n.Load("slow", "/look?from=large&slow=780ms", 10, 5*time.Millisecond, 500*time.Millisecond),
 				n.Load("few", "/look?from=small", 1, 20*time.Millisecond, 500*time.Millisecond))
 		}
-		pass(b.Rig, 3*time.Second)
+		b.Pass(3 * time.Second)
 		b.Nodes[3].Kill()
 		if held {
 			stopped := granter(b.Rig)
 			stopped.Signal(syscall.SIGSTOP)
-			pass(b.Rig, leaseTime+time.Second)
+			b.Pass(leaseTime + time.Second)
 			stopped.Signal(syscall.SIGCONT)
-			pass(b.Rig, 3*time.Second)
+			b.Pass(3 * time.Second)
 		}
 		t.Logf("answers %v", b.end())
 		large, small := b.Most("large"), b.Most("small")
@@ -118,7 +112,7 @@
 			b.ends = append(b.ends, n.Load("job", "/look", 2, 10*time.Millisecond, 400*time.Millisecond))
 		}
 		news := func(span time.Duration) {
-			for end := b.Now() + int64(span); b.Now() < end; pass(b.Rig, 30*time.Millisecond) {
+			for end := b.Now() + int64(span); b.Now() < end; b.Pass(30 * time.Millisecond) {
 				b.News(func(map[string]bool) {})
 			}
 		}
--- a/internal/rig/signals_test.go
+++ b/internal/rig/signals_test.go
@@ -37,21 +37,10 @@
 	for _, n := range b.Nodes {
 		b.ends = append(b.ends, n.Load("job", "/look", 1, pause, time.Second))
 	}
-	pass(b.Rig, 2*time.Second)
+	b.Pass(2 * time.Second)
 	return b
 }
 
-// sent counts the jobs that came to an executor since, of all nodes but one.
-func sent(r *rig.Rig, e *rig.Executor, since int64, but string) (count int) {
-	_, jobs := e.Noted()
-	for j := len(jobs) - 1; j >= 0 && jobs[j].At >= since; j-- {
-		if rig.Sender(jobs[j].ID) != but {
-			count++
-		}
-	}
-	return count
-}
-
 // TestSignals: an executor that fails all is left by all nodes after few jobs, since those that it failed tell the others; one
 // node to which it is well does not keep the others at it. Well again it is used by all within seconds.
 func TestSignals(t *testing.T) {
@@ -63,16 +52,16 @@
 		bad, friend := b.Executors[3], b.Nodes[7].Name
 		bad.Shun(func(node string) bool { return node != friend })
 		since := b.Now()
-		pass(b.Rig, 8*time.Second)
-		wasted[told] = sent(b.Rig, bad, since, friend)
-		if told && sent(b.Rig, bad, since, "") == wasted[told] {
+		b.Pass(8 * time.Second)
+		wasted[told] = b.Sent(bad, since, friend)
+		if told && b.Sent(bad, since, "") == wasted[told] {
 			t.Error("the node to which it is well left it")
 		}
 		bad.Shun(nil)
 		since = b.Now()
 		t.Logf("told: %v: %d jobs wasted in 8 s; used by all again after %v", told, wasted[told], b.Until("all use it again", 4*soon, func() bool {
 			for _, n := range b.Nodes {
-				if !from(b.Rig, n, since)[bad] {
+				if !b.From(n, since)[bad] {
 					return false
 				}
 			}
@@ -99,10 +88,10 @@
 		e.Shun(func(node string) bool { return node == liar })
 	}
 	since := b.Now()
-	pass(b.Rig, 4*time.Second)
+	b.Pass(4 * time.Second)
 	all, least := 0, 1<<30
 	for _, e := range b.Executors {
-		n := sent(b.Rig, e, since, liar)
+		n := b.Sent(e, since, liar)
 		all, least = all+n, min(least, n)
 	}
 	t.Logf("%d jobs by the others, %d at the executor that had the fewest", all, least)
--- a/internal/rig/subset_test.go
+++ b/internal/rig/subset_test.go
@@ -23,31 +23,6 @@
 	return plan
 }
 
-// heard counts what arrived since: the fewest and most nodes that any executor heard of, and the fewest and most jobs that any
-// had, as shares of the mean.
-func heard(r *rig.Rig, since int64) (fewest, most int, idlest, busiest float64) {
-	all, counts := 0, make([]int, len(r.Executors))
-	for i, e := range r.Executors {
-		_, jobs := e.Noted()
-		from := map[string]bool{}
-		for j := len(jobs) - 1; j >= 0 && jobs[j].At >= since; j-- {
-			from[rig.Sender(jobs[j].ID)] = true
-			counts[i]++
-		}
-		all += counts[i]
-		if i == 0 || len(from) < fewest {
-			fewest = len(from)
-		}
-		most = max(most, len(from))
-	}
-	mean := max(float64(all)/float64(len(counts)), 1e-9)
-	idlest = 1e9
-	for _, n := range counts {
-		idlest, busiest = min(idlest, float64(n)/mean), max(busiest, float64(n)/mean)
-	}
-	return fewest, most, idlest, busiest
-}
-
 // TestSubsets: of thirty executors each is used by about as many nodes as the next while a fleet of nine grows to eighteen and
 // falls to five under traffic, all the time but for what gossip needs; no client of a node that lives goes without its one
 // answer. Nodes that use all executors are heard by each: the count can fail.
@@ -61,7 +36,7 @@
 			if b.Now()-since < int64(1500*time.Millisecond) {
 				return false
 			}
-			a, z, _, _ := heard(b.Rig, since)
+			a, z, _, _ := b.Heard(since)
 			if a >= fewest && z <= most {
 				return true
 			}
@@ -69,8 +44,8 @@
 			return false
 		})
 		since = b.Now()
-		pass(b.Rig, 2*time.Second)
-		a, z, idlest, busiest := heard(b.Rig, since)
+		b.Pass(2 * time.Second)
+		a, z, idlest, busiest := b.Heard(since)
 		t.Logf("%s after %v; then %d to %d nodes at an executor, work %.2f to %.2f of the mean", what, took, a, z, idlest, busiest)
 		if a < fewest || z > most || idlest < 0.3 || busiest > 2 {
 			t.Errorf("%s: %d to %d nodes at an executor, %d to %d are promised; work %.2f to %.2f of the mean", what, a, z, fewest, most, idlest, busiest)
@@ -100,20 +75,6 @@
 	}
 }
 
-// from are the executors that a node sent jobs to since.
-func from(r *rig.Rig, node *rig.Node, since int64) map[*rig.Executor]bool {
-	used := map[*rig.Executor]bool{}
-	for _, e := range r.Executors {
-		_, jobs := e.Noted()
-		for j := len(jobs) - 1; j >= 0 && jobs[j].At >= since; j-- {
-			if rig.Sender(jobs[j].ID) == node.Name {
-				used[e] = true
-			}
-		}
-	}
-	return used
-}
-
 // settle waits until all nodes take so many others for there, and lets a window pass.
 func settle(b *busy, nodes []*rig.Node, others int) {
 	b.Until("the nodes that are there are known", 4*soon, func() bool {
@@ -124,7 +85,7 @@
 		}
 		return true
 	})
-	pass(b.Rig, 500*time.Millisecond)
+	b.Pass(500 * time.Millisecond)
 }
 
 // TestSubsetWidens: what a node is to use breaks off for it alone, then drains; it goes on with others, of which it takes no
@@ -145,8 +106,8 @@
 	hurt, other := b.Nodes[4], b.Nodes[5]
 	look := func() (mine, theirs map[*rig.Executor]bool) {
 		since := b.Now()
-		pass(b.Rig, 1500*time.Millisecond)
-		return from(b.Rig, hurt, since), from(b.Rig, other, since)
+		b.Pass(1500 * time.Millisecond)
+		return b.From(hurt, since), b.From(other, since)
 	}
 	near, theirs := look()
 	if len(near) != figures(hurt).Subset.Near || len(near) > 8 || len(theirs) > 8 {
@@ -164,15 +125,15 @@
 		t.Helper()
 		took := b.Until(what+": it uses others", soon, func() bool {
 			since := b.Now()
-			pass(b.Rig, 300*time.Millisecond)
-			for e := range from(b.Rig, hurt, since) {
+			b.Pass(300 * time.Millisecond)
+			for e := range b.From(hurt, since) {
 				if !near[e] {
 					return true
 				}
 			}
 			return false
 		})
-		pass(b.Rig, time.Second)
+		b.Pass(time.Second)
 		mine, now := look()
 		t.Logf("%s: after %v it uses %d, of 30", what, took, len(mine))
 		if len(mine) > 20 || !same(now, theirs) {
@@ -183,8 +144,8 @@
 		t.Helper()
 		t.Logf("back after %v", b.Until("it uses its own again", 3*soon, func() bool {
 			since := b.Now()
-			pass(b.Rig, 700*time.Millisecond)
-			mine := from(b.Rig, hurt, since)
+			b.Pass(700 * time.Millisecond)
+			mine := b.From(hurt, since)
 			return len(mine) > 3 && same(mine, near)
 		}))
 	}
@@ -236,12 +197,12 @@
 	}
 	look := func() (fewest, most int, half [2]int) {
 		since := b.Now()
-		pass(b.Rig, 2*time.Second)
-		fewest, most, _, _ = heard(b.Rig, since)
+		b.Pass(2 * time.Second)
+		fewest, most, _, _ = b.Heard(since)
 		for side := range half {
 			used := map[*rig.Executor]bool{}
 			for _, n := range b.Nodes[4*side : 4*side+4] {
-				for e := range from(b.Rig, n, since) {
+				for e := range b.From(n, since) {
 					used[e] = true
 				}
 			}
