An experiment's results belong to the program that played them, known to the build or not

Cause: runs.jsonl said "unknown" where the build is not stamped with a commit, so that results of an older program would have been taken for those of a new one (experiment.go: revision). Change: without a clean commit the program's own hash stands in.

--- a/cmd/fernlab/experiment.go
+++ b/cmd/fernlab/experiment.go
@@ -51,7 +51,11 @@
 		}
 		hashes[s] = experiment.Hash(texts[s])
 	}
-	runs := p.Grid(hashes, revision())
+	program, err := revision()
+	if err != nil {
+		return verdict{err, 2}
+	}
+	runs := p.Grid(hashes, program)
 	// Danger: an hour of runs, and then a word that the last of them can't read.
 	for i := range runs {
 		if _, _, err := prepared(texts, &runs[i]); err != nil {
@@ -242,18 +246,30 @@
 			"twice": float64(report.Twice), "breaches": float64(len(j.End(last)))}}, nil
 }
 
-// revision is the version that plays; a text that was changed since is told as such.
-func revision() string {
-	version := "unknown"
+// revision is the version that plays. Danger: results of another program taken for this one's, where the build knows of no commit
+// or of a text that was changed since. Then it is the program itself that counts.
+func revision() (string, error) {
+	version, changed := "", false
 	if b, ok := debug.ReadBuildInfo(); ok {
 		for _, s := range b.Settings {
 			switch {
 			case s.Key == "vcs.revision":
 				version = s.Value
-			case s.Key == "vcs.modified" && s.Value == "true":
-				version += " modified"
+			case s.Key == "vcs.modified":
+				changed = s.Value == "true"
 			}
 		}
 	}
-	return version
+	if version != "" && !changed {
+		return version, nil
+	}
+	path, err := os.Executable()
+	if err != nil {
+		return "", err
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", err
+	}
+	return "program " + experiment.Hash(text), nil
 }
--- a/cmd/fernlab/experiment_test.go
+++ b/cmd/fernlab/experiment_test.go
@@ -53,6 +53,10 @@
 		t.Fatal(err)
 	}
 	os.WriteFile(runs, text[:len(text)-20], 0o600)
+	// Danger: a version that is not known makes all programs one.
+	if program, err := revision(); err != nil || len(program) < 16 || !strings.Contains(string(text), program) {
+		t.Errorf("%q, %v", program, err)
+	}
 	if said, again := play("a", 2); again != whole || !strings.Contains(said, "4 runs, 1 of them to be played") {
 		t.Errorf("%s\n%s", said, again)
 	}
