rig tests: one way to start a fleet of which all nodes serve

Cause: four tests started their fleets with the same lines. Change: started. Result: the seven tests of shares, subsets and signals pass with -race.

--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -204,6 +204,18 @@
 	return sum
 }
 
+// started is a fleet of which all nodes serve.
+func started(t *testing.T, plan rig.Plan) *busy {
+	b := &busy{Rig: rig.New(t, plan)}
+	for _, n := range b.Nodes {
+		n.Start()
+	}
+	for _, n := range b.Nodes {
+		n.Ready()
+	}
+	return b
+}
+
 // stop ends all nodes, where one test has several fleets.
 func (b *busy) stop() {
 	for _, n := range b.Nodes {
--- a/internal/rig/shares_test.go
+++ b/internal/rig/shares_test.go
@@ -39,13 +39,7 @@
 			plan.Settings["Limits"].(map[string]any)["MayTell"] = false
 		}
 		plan.Fleet["budgets"].(map[string]any)["jobs"] = map[string]any{"whole": whole, "floor": 1, "reserve": 2, "window_ms": 1000}
-		b := &busy{Rig: rig.New(t, plan)}
-		for _, n := range b.Nodes {
-			n.Start()
-		}
-		for _, n := range b.Nodes {
-			n.Ready()
-		}
+		b := started(t, plan)
 		if held {
 			leased(b.Rig, b.Nodes)
 		}
--- a/internal/rig/signals_test.go
+++ b/internal/rig/signals_test.go
@@ -5,8 +5,6 @@
 import (
 	"testing"
 	"time"
-
-	"fernrail/internal/rig"
 )
 
 // wary is a fleet whose nodes tell each other of executors, or do not.
@@ -18,13 +16,7 @@
 	if told {
 		plan.Fleet["signals"] = map[string]any{"quorum": 3}
 	}
-	b := &busy{Rig: rig.New(t, plan)}
-	for _, n := range b.Nodes {
-		n.Start()
-	}
-	for _, n := range b.Nodes {
-		n.Ready()
-	}
+	b := started(t, plan)
 	b.Until("all know all", 2*soon, func() bool {
 		for _, n := range b.Nodes {
 			f := figures(n)
--- a/internal/rig/subset_test.go
+++ b/internal/rig/subset_test.go
@@ -94,12 +94,8 @@
 	beside(t)
 	plan := parted(6, 6)
 	plan.Fleet["subset"] = map[string]any{"size": 6, "cover": 1}
-	b := &busy{Rig: rig.New(t, plan)}
+	b := started(t, plan)
 	for _, n := range b.Nodes {
-		n.Start()
-	}
-	for _, n := range b.Nodes {
-		n.Ready()
 		b.ends = append(b.ends, n.Load("job", "/look", 2, 15*time.Millisecond, time.Second))
 	}
 	settle(b, b.Nodes, 6)
@@ -177,12 +173,8 @@
 func TestSubsetsSplit(t *testing.T) {
 	beside(t)
 	plan := parted(8, 6)
-	b := &busy{Rig: rig.New(t, plan)}
-	for _, n := range b.Nodes {
-		n.Start()
-	}
+	b := started(t, plan)
 	for _, n := range b.Nodes {
-		n.Ready()
 		b.ends = append(b.ends, n.Load("job", "/look", 2, 15*time.Millisecond, time.Second))
 	}
 	settle(b, b.Nodes, 8)
