--- /dev/null
+++ b/internal/rig/processor.go
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package rig
+
+import (
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// step is between two looks at a process that is held to a share of a core.
+	step = time.Millisecond
+	// saved is the processor time that a process may use at once after it rested.
+	saved = time.Millisecond
+	// owed bounds what a process pays back by standing still. Danger: on a busy machine this process looks late, and what the other
+	// one used meanwhile would stop it for longer than the share alone ever does.
+	owed = 2 * time.Millisecond
+)
+
+// hold keeps a process to a share of one core until it has ended, by SIGSTOP and SIGCONT: it runs for about a millisecond and then
+// stands still for the rest of its turn, as a process with a small quota does.
+func hold(p *os.Process, share float64, ended <-chan struct{}) {
+	credit, stopped := saved, false
+	then, used := time.Now(), processorTime(p.Pid)
+	tick := time.NewTicker(step)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ended:
+			return
+		case <-tick.C:
+		}
+		now, usedNow := time.Now(), processorTime(p.Pid)
+		credit += time.Duration(share*float64(now.Sub(then))) - (usedNow - used)
+		credit = max(min(credit, saved), -owed)
+		then, used = now, usedNow
+		if stop := credit < 0; stop != stopped {
+			stopped = stop
+			if stop {
+				p.Signal(syscall.SIGSTOP)
+			} else {
+				p.Signal(syscall.SIGCONT)
+			}
+		}
+	}
+}
+
+// processorTime is what a process has used on all its threads, by its clock (clock_getcpuclockid of the C library); nothing once it
+// has ended.
+func processorTime(pid int) time.Duration {
+	const scheduler = 2 // CPUCLOCK_SCHED
+	var t unix.Timespec
+	if unix.ClockGettime(int32(^pid<<3|scheduler), &t) != nil {
+		return 0
+	}
+	return time.Duration(t.Nano())
+}
+
+// ProcessorTime is what the node's process has used so far.
+func (n *Node) ProcessorTime() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process == nil {
+		return 0
+	}
+	return processorTime(n.process.Process.Pid)
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -38,11 +39,12 @@
 	client    *http.Client
 
 	mu      sync.Mutex
-	version int64           // of the list
-	changed chan struct{}   // closed with the next version
-	drained map[string]bool // executors
-	deaf    bool            // discovery answers that it can't
-	calls   []int64         // when it was asked
+	version int64            // of the list
+	changed chan struct{}    // closed with the next version
+	drained map[string]bool  // executors
+	since   map[string]int64 // the version with which each executor last changed; absent: it never did
+	deaf    bool             // discovery answers that it can't
+	calls   []int64          // when it was asked
 }
 
 // Plan is what a fleet is like.
@@ -59,11 +61,15 @@
 	Reply     time.Duration  // of an executor
 	Work      time.Duration  // that clients say each job takes; 0: they say nothing
 	Started   time.Time      // of the executors, as discovery tells it; zero: long ago
+	Cores     float64        // share of a core that each process is told of and held to; 0: neither
+	Sockets   int            // descriptors that each process is told of; 0: 400
+	Quiet     bool           // processes log nothing below warnings
+	Starts    bool           // executors tell of each job's start
 }
 
 // New makes the stand-ins. Nothing is started yet. All of it ends with the test.
 func New(t testing.TB, plan Plan) *Rig {
-	r := &Rig{TB: t, plan: plan, start: time.Now(), version: 1, changed: make(chan struct{}), drained: map[string]bool{}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	r := &Rig{TB: t, plan: plan, start: time.Now(), version: 1, changed: make(chan struct{}), drained: map[string]bool{}, since: map[string]int64{}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	t.Cleanup(r.client.CloseIdleConnections)
 	for i := range plan.Executors {
 		r.Executors = append(r.Executors, newExecutor(r, fmt.Sprint("e", i)))
@@ -228,6 +234,10 @@
 	if q.URL.Query().Get("close") != "" {
 		out.Header().Set("Connection", "close")
 	}
+	if e.rig.plan.Starts {
+		fmt.Fprintf(out, `{"id":%q,"from":%q,"state":"started"}`+"\n", id, e.Name)
+		http.NewResponseController(out).Flush()
+	}
 	// It works on, whoever has gone.
 	slow, _ := time.ParseDuration(q.URL.Query().Get("slow"))
 	time.Sleep(e.rig.plan.Reply + slow)
@@ -267,13 +277,17 @@
 	return most
 }
 
-func (r *Rig) known() map[string]any {
-	var servers []map[string]any
+// known is the list; after is the version that whoever asks has, from which on changes count. Under mu.
+func (r *Rig) known(after int64) map[string]any {
+	servers := []map[string]any{}
 	started := int64(0)
 	if !r.plan.Started.IsZero() {
 		started = r.plan.Started.UnixMilli()
 	}
 	for _, e := range r.Executors {
+		if after > 0 && r.since[e.Name] <= after {
+			continue
+		}
 		state := "Ready"
 		if r.drained[e.Name] {
 			state = "Terminating"
@@ -290,7 +304,9 @@
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	list, since := r.known(), q.URL.Query().Get("since")
+	since := q.URL.Query().Get("since")
+	after, _ := strconv.ParseInt(since, 10, 64)
+	list := r.known(after)
 	if since != "" {
 		list["full"] = false
 	}
@@ -306,7 +322,7 @@
 		if r.mu.Lock(); r.version == list["version"] {
 			list["servers"] = []any{}
 		} else {
-			list = r.known()
+			list = r.known(after)
 			list["full"] = false
 		}
 	}
@@ -317,8 +333,14 @@
 func (r *Rig) News(change func(drained map[string]bool)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	was := maps.Clone(r.drained)
 	change(r.drained)
 	r.version++
+	for _, e := range r.Executors {
+		if r.drained[e.Name] != was[e.Name] {
+			r.since[e.Name] = r.version
+		}
+	}
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
@@ -379,12 +401,21 @@
 	return n
 }
 
+// limits are what each process is told.
+func (r *Rig) limits() map[string]any {
+	told := map[string]any{"sockets": cmp.Or(r.plan.Sockets, 400)}
+	if r.plan.Cores > 0 {
+		told["cores"] = r.plan.Cores
+	}
+	return told
+}
+
 // configuration is the node's file. Each node calls the seats through relays of its own.
 func (n *Node) configuration() []byte {
 	n.rig.mu.Lock()
 	defer n.rig.mu.Unlock()
 	file := map[string]any{"name": n.Name, "listen": n.Listen, "admin_addr": n.Admin, "discovery": n.rig.list.Addr().String(),
-		"seed": fmt.Sprint(n.Index + 1), "limits": map[string]any{"sockets": 400}, "known": n.rig.known(), "settings": n.rig.plan.Settings}
+		"seed": fmt.Sprint(n.Index + 1), "limits": n.rig.limits(), "known": n.rig.known(0), "settings": n.rig.plan.Settings}
 	if n.rig.plan.Fleet != nil {
 		section := map[string]any{}
 		for key, value := range n.rig.plan.Fleet {
@@ -450,6 +481,14 @@
 	return err
 }
 
+// level is the least that processes log.
+func (r *Rig) level() string {
+	if r.plan.Quiet {
+		return "warn"
+	}
+	return "info"
+}
+
 // Start starts the node's process. It does not wait until it serves.
 func (n *Node) Start() {
 	n.rig.Helper()
@@ -465,7 +504,7 @@
 		n.rig.Fatal(err)
 	}
 	p := exec.Command(n.rig.plan.Program[0], n.rig.plan.Program[1:]...)
-	p.Env = append(append(append(os.Environ(), n.rig.plan.Env...), n.Env...), "EDGE_CONFIG="+path, "EDGE_LOG=info", "TMPDIR="+n.dir, "EDGE_LISTEN_FD=3")
+	p.Env = append(append(append(os.Environ(), n.rig.plan.Env...), n.Env...), "EDGE_CONFIG="+path, "EDGE_LOG="+n.rig.level(), "TMPDIR="+n.dir, "EDGE_LISTEN_FD=3")
 	p.ExtraFiles = []*os.File{n.socket}
 	p.Stdout, p.Stderr = out, out
 	if err := start(p); err != nil {
@@ -477,6 +516,9 @@
 		out.Close()
 		close(ended)
 	}()
+	if share := n.rig.plan.Cores; share > 0 {
+		go hold(p.Process, share, ended)
+	}
 	n.process, n.ended, n.out = p, ended, out
 }
 
