Logs that can answer: the process's own lag, reasons of refusals, closes to make room, list times

Now: a lag meter (how long ready work waits, measured 20 times a second, told from 100 ms on), a reason and the lag with each request that is not served, ids with each attempt's cause, closes that make room, and the time a list takes to be applied. Nothing is decided by any of it. Checked: tests of dispatch, routing, transport, emulator and cmd pass.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -202,7 +202,7 @@
 // Danger: a txn that is forgotten. This alarm answers it whatever else happens.
 func (d *Dispatcher) Expire(t *Txn, at int64) {
 	t.Expiry = min(t.Expiry, at)
-	t.forget = d.door.Alarm(t.Expiry-d.now-2*d.terms.Tick, func() { d.finish(t) })
+	t.forget = d.door.Alarm(t.Expiry-d.now-2*d.terms.Tick, func() { d.finish(t, TimeUp) })
 }
 
 // overShare tells by chance whether a txn lies beyond its tenant's share, by the other tenants' arrivals.
@@ -244,7 +244,7 @@
 	// Danger: executors that never answer probes. What has heard nothing for some rounds goes out blindly.
 	asking := d.terms.Probes && !d.terms.Live && (t.rounds < asks || d.toldAt >= t.arrived)
 	if len(t.Postings) >= d.terms.MostPostings || t.anchor() != nil && d.spanOver(t) {
-		d.finish(t)
+		d.finish(t, NoAttempt)
 	} else if drawn := d.draw(t, asks); len(drawn) == 0 {
 		// Danger: in a jam a node spends its processor time on looking for room that is not there.
 		t.look, t.looks = d.now+d.terms.Tick*min(t.looks, 16), t.looks+1
@@ -592,7 +592,7 @@
 		return
 	// Danger: what is declined here may run all the same and comes back as a retry, so that a jam never ends.
 	case s.Effect == Repeatable && s.LateValue == 0 && d.earns(p.Txn) <= 0:
-		d.finish(p.Txn)
+		d.finish(p.Txn, LateAnswer)
 		return
 	case !d.terms.Reports || wait <= d.patience():
 		d.copy(p)
@@ -763,8 +763,10 @@
 	}
 	if over {
 		d.Left(t)
-	} else if o == TimedOut && p.Limit == 0 || again && o == Erred && part < incurable {
-		d.finish(t) // its client has given up, whatever was told; or it errs wherever it goes
+	} else if o == TimedOut && p.Limit == 0 { // its client has given up, whatever was told
+		d.finish(t, ClientsTime)
+	} else if again && o == Erred && part < incurable {
+		d.finish(t, ErrsAnywhere)
 	}
 	p.then()
 }
@@ -787,10 +789,11 @@
 }
 
 // finish gives the final answer that the rules allow.
-func (d *Dispatcher) finish(t *Txn) {
+func (d *Dispatcher) finish(t *Txn, why Reason) {
 	if t.Over {
 		return
 	}
+	t.Reason = why
 	d.Left(t)
 	// Danger: a decline tells the client that trying again is harmless; where it might not be, reverse.
 	s := t.Scheme
@@ -834,7 +837,7 @@
 	for _, t := range waiting {
 		switch {
 		case t.earns <= 0:
-			d.finish(t)
+			d.finish(t, NoHope)
 		case d.now < t.look:
 			d.enqueue(t)
 		default:
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -205,7 +205,8 @@
 	Hint     int64  // expected work on a standard core; 0: not told
 	Expiry   int64  // clock time
 	Postings []*Posting
-	Over     bool // the final answer is given, or the client has left
+	Over     bool   // the final answer is given, or the client has left
+	Reason   Reason // why it was refused or failed, once it is
 
 	arrived, aim int64
 	value        float64   // billing value when in time
@@ -220,6 +221,23 @@
 	forget       func()    // releases the alarm of its expiry
 }
 
+// Reason says why a request was refused or failed. It is for logs; nothing is decided by it.
+type Reason int
+
+const (
+	NoReason     Reason = iota
+	TimeUp              // its deadline is here
+	NoAttempt           // it may not be sent again, or not once more
+	NoHope              // it waited for a server for so long that it can hardly end in time
+	LateAnswer          // it waits at a server, and a late answer earns nothing
+	ClientsTime         // an attempt ran until the client's time was over
+	ErrsAnywhere        // it ended in errors at two servers, as such requests do
+)
+
+func (r Reason) String() string {
+	return [...]string{"", "deadline", "no attempt left", "no hope", "late at a server", "client's time is over", "errs anywhere"}[r]
+}
+
 // anchor is the first posting that may have run or still may.
 func (t *Txn) anchor() *Posting {
 	if i := slices.IndexFunc(t.Postings, func(p *Posting) bool { return !p.unrun }); i >= 0 {
--- /dev/null
+++ b/internal/routing/lag.go
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package routing
+
+import (
+	"context"
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// lagInterval is between two measurements. Each wakes the process once, which costs it about 10 us.
+	lagInterval = 50 * time.Millisecond
+	// lagTold is the lag from which the log tells of it, once a second at most: a process with a small share of a core is
+	// behind by some tens of milliseconds whenever two requests meet.
+	lagTold = 100 * time.Millisecond
+)
+
+// lagMeter measures how far this process is behind: how long work that is ready waits until it runs. It is behind when it is short of
+// processor time, was stopped, or its host was.
+//
+// A goroutine sleeps for lagInterval and then yields, so that all that is ready by then runs first; the time beyond the interval is
+// the lag. Between two measurements the next one's delay so far counts, so that a process that runs again after it stood still knows
+// at once how long it did.
+type lagMeter struct {
+	last atomic.Int64 // ns; as measured last
+	due  atomic.Int64 // ns since start, when the next measurement should end
+	now  func() int64 // ns since start, monotonic
+}
+
+func newLagMeter() *lagMeter {
+	start := time.Now()
+	m := &lagMeter{now: func() int64 { return int64(time.Since(start)) }}
+	m.due.Store(int64(lagInterval))
+	return m
+}
+
+// Lag is how long what is handled at this moment may have waited, in ns.
+func (m *lagMeter) Lag() int64 {
+	return max(m.last.Load(), m.now()-m.due.Load(), 0)
+}
+
+// run measures until the context ends.
+func (m *lagMeter) run(ctx context.Context, log zerolog.Logger) {
+	log = log.Sample(&zerolog.BurstSampler{Burst: 1, Period: time.Second})
+	timer := time.NewTimer(lagInterval)
+	defer timer.Stop()
+	for {
+		due := m.now() + int64(lagInterval)
+		m.due.Store(due)
+		timer.Reset(lagInterval)
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		// A timer's goroutine goes before those that are ready; two yields put it behind them.
+		runtime.Gosched()
+		runtime.Gosched()
+		lag := max(m.now()-due, 0)
+		if m.last.Store(lag); lag >= int64(lagTold) {
+			log.Warn().Int64("lag_ms", lag/1e6).Msg("this process is behind: ready work waits")
+		}
+	}
+}
--- a/internal/routing/life.go
+++ b/internal/routing/life.go
@@ -60,6 +60,7 @@
 type life struct {
 	number  int // in the order of arrival
 	request *protocol.Request
+	began   int64                 // by the node's clock, ns
 	answer  chan *protocol.Answer // holds the one final answer; nil: its client has gone
 }
 
@@ -77,7 +78,7 @@
 	err := n.event(func() {
 		t.Expiry = n.clock() + int64(q.Budget)
 		n.taken++
-		l.number = n.taken
+		l.number, l.began = n.taken, n.clock()
 		n.lives[t] = l
 		n.module.Arrive(t)
 		// Danger: where clocks may differ the module moves the expiry; a node that ends has no more time for all that.
@@ -92,13 +93,23 @@
 	}
 	select {
 	case a := <-l.answer:
+		n.unserved(t, l, a)
 		return a
 	case <-ctx.Done():
+		n.log.Debug().Str("id", q.ID).Int64("lag_ms", n.lag.Lag()/1e6).Msg("client has gone")
 		n.event(func() { n.drop(t) })
 		return nil
 	}
 }
 
+// unserved tells of a request that ends with no result: why, after how long, with how many attempts, and how far the process is behind.
+func (n *Node) unserved(t *dispatch.Txn, l *life, a *protocol.Answer) {
+	if a != nil && a.Status != http.StatusOK {
+		n.log.Debug().Str("id", t.Tag).Int("status", a.Status).Stringer("reason", t.Reason).Int("attempts", len(t.Postings)).
+			Int64("age_ms", (n.clock()-l.began)/1e6).Int64("lag_ms", n.lag.Lag()/1e6).Msg("not served")
+	}
+}
+
 // End brings forward what is out: the node has been told to end, and all is answered within that time.
 func (n *Node) End(within time.Duration) {
 	n.event(func() {
@@ -217,6 +228,7 @@
 		}
 	}
 	if e.Cause != nil && e.Outcome != dispatch.Revoked {
-		n.log.Debug().Err(e.Cause).Str("executor", p.Executor.Tag).Stringer("outcome", e.Outcome).Msg("posting ended")
+		n.log.Debug().Err(e.Cause).Str("id", p.Txn.Tag).Int("number", p.Number).Str("executor", p.Executor.Tag).Stringer("outcome", e.Outcome).
+			Int64("lag_ms", n.lag.Lag()/1e6).Msg("posting ended")
 	}
 }
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -38,6 +38,7 @@
 func (n *Node) Follow(ctx context.Context) {
 	// Danger: a fleet that starts together asks for so many whole lists that none is told of anything. What this node was
 	// handed at the start is a list like any other, and changes to it cost little.
+	go n.lag.run(ctx, n.log)
 	on, whole, version := false, !n.known.Full, n.known.Version
 	var answer chan told // of the call that is out
 	leave := func() {}
@@ -115,10 +116,12 @@
 		n.event(n.module.Ask)
 		return false, wanted, had
 	}
+	began := time.Now()
+	n.event(func() { n.listed(a.list) })
 	if a.list.Full || len(a.list.Entries) > 0 {
-		n.log.Info().Int64("version", a.list.Version).Bool("whole", a.list.Full).Int("entries", len(a.list.Entries)).Msg("list")
+		n.log.Info().Int64("version", a.list.Version).Bool("whole", a.list.Full).Int("entries", len(a.list.Entries)).
+			Int64("applied_us", time.Since(began).Microseconds()).Int64("lag_ms", n.lag.Lag()/1e6).Msg("list")
 	}
-	n.event(func() { n.listed(a.list) })
 	if n.news != nil {
 		close(n.news)
 		n.news = nil
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -63,6 +63,7 @@
 	log     zerolog.Logger
 	start   time.Time
 	purse   Purse // nil: nodes share nothing
+	lag     *lagMeter
 
 	mu      sync.Mutex // round the module and all below; never held over a write, a dial or a log line
 	module  *dispatch.Dispatcher
@@ -94,7 +95,7 @@
 
 // New starts the module on the list as it was last known. purse is nil where nodes share nothing.
 func New(terms *dispatch.Terms, seed uint64, known *protocol.List, c Carrier, probe time.Duration, l Lister, purse Purse, log zerolog.Logger) *Node {
-	n := &Node{terms: terms, carrier: c, probe: probe, lister: l, known: known, log: log, start: time.Now(), till: math.MaxInt64, members: map[string]*member{}, listedOnce: map[string]bool{},
+	n := &Node{terms: terms, carrier: c, probe: probe, lister: l, known: known, log: log, start: time.Now(), lag: newLagMeter(), till: math.MaxInt64, members: map[string]*member{}, listedOnce: map[string]bool{},
 		news: make(chan struct{}), ids: [2]map[string]int64{{}, {}}, lives: map[*dispatch.Txn]*life{}, out: map[*dispatch.Posting]context.CancelFunc{}, watch: make(chan bool, 1), turn: make(chan Lister, 1), relisted: make(chan struct{}, 1)}
 	n.heard = n.news
 	for i := range terms.Schemes {
--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
 	"fernrail/internal/protocol"
@@ -33,6 +34,8 @@
 	executors
 )
 
+func (s side) String() string { return [...]string{"clients", "executors"}[s] }
+
 const (
 	// most is the part of the budget that one side may hold. What is left to the other carries a request for each place
 	// of a third, which is what clients use, and its second copies.
@@ -78,15 +81,19 @@
 	lingering int            // clients' connections that wait for the client to read its answer and close
 	stopping  bool
 	ended     bool // nothing is taken any more
+	log       zerolog.Logger
 }
 
 func NewDescriptors(sockets int) *Descriptors {
-	d := &Descriptors{young: young, kept: map[string]int{}}
+	d := &Descriptors{young: young, kept: map[string]int{}, log: zerolog.Nop()}
 	d.changed.L = &d.mu
 	d.Resize(sockets)
 	return d
 }
 
+// Log has each connection told of that is closed to make room. It is called before the node serves.
+func (d *Descriptors) Log(log zerolog.Logger) { d.log = log }
+
 // Resize sets how many descriptors this process may hold; what is idle beyond that is closed.
 func (d *Descriptors) Resize(sockets int) {
 	d.mu.Lock()
@@ -173,7 +180,10 @@
 		c := first.Value.(*conn)
 		c.put(nil)
 		c.yielded, c.lingered = c.of == executors, true
+		held := d.held
 		d.mu.Unlock()
+		d.log.Debug().Stringer("side", c.of).Str("executor", c.address).Int("clients", held[clients]).Int("executors", held[executors]).
+			Int("most", d.total).Msg("connection closed to make room")
 		c.Close()
 		d.mu.Lock()
 	}
