dispatch: a draw looks at a bounded number of servers, whatever the size of the fleet

Change: above 256 servers a draw looks at a sample of that size, after those with an idle connection and those in slow start that it is this node's turn at; at all where none of these may be sent to. Limits come back for those that were cut alone; a change touches the changed.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -32,7 +32,7 @@
 
 // BenchmarkArrival is one arrival to its posting, and the posting's end.
 func BenchmarkArrival(b *testing.B) {
-	for _, executors := range []int{20, 200, 2000} {
+	for _, executors := range []int{20, 200, 3200} {
 		b.Run(fmt.Sprint(executors), func(b *testing.B) {
 			d, door, terms := stillWorld(executors)
 			b.ReportAllocs()
@@ -56,7 +56,7 @@
 			b.Run(fmt.Sprintf("%d/%d", executors, waiting), func(b *testing.B) {
 				d, _, terms := stillWorld(executors)
 				d.At(1e12)
-				for _, e := range d.fleet {
+				for _, e := range d.fleet.servers {
 					e.limit = 0
 				}
 				for range waiting {
--- /dev/null
+++ b/dispatch/candidates.go
@@ -0,0 +1,140 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+// Which servers a draw looks at. Of a short list all; of a long one a bounded number, so that a request costs the same whatever the
+// size of the fleet:
+//
+//   - the idle servers with a kept connection, which go first by the design's exceptions, and those in slow start that this node may
+//     send to now; if there are more than sampleSize, so many of them at random;
+//   - where these do not do, sampleSize of all at random;
+//   - where none of these may be sent to at all, all of them: a request that may only go to a few servers has to find them.
+//
+// The draw among them is the same as ever. As the sample is drawn evenly and without bias, each server's chance is in proportion to
+// its weight, but for a part of about the relative variance of weights over sampleSize.
+
+// sampleSize is the length of a list up to which all of it is looked at. The share of healthy servers may be as small as one in fifty
+// and a sample still holds one but for one time in a hundred and seventy.
+const sampleSize = 256
+
+// serverSet is a set of servers that is added to in any order, and from which some are drawn at random.
+type serverSet struct {
+	servers []*Executor
+	at      func(*Executor) *int // where a server keeps its place in the set, counted from one; 0: it is not in it
+}
+
+func (s *serverSet) add(e *Executor) {
+	if at := s.at(e); *at == 0 {
+		s.servers = append(s.servers, e)
+		*at = len(s.servers)
+	}
+}
+
+func (s *serverSet) remove(e *Executor) {
+	at := s.at(e)
+	if *at == 0 {
+		return
+	}
+	last := len(s.servers) - 1
+	s.swap(*at-1, last)
+	s.servers[last] = nil
+	s.servers, *at = s.servers[:last], 0
+}
+
+func (s *serverSet) swap(i, j int) {
+	a, b := s.servers[i], s.servers[j]
+	s.servers[i], s.servers[j] = b, a
+	*s.at(a), *s.at(b) = j+1, i+1
+}
+
+// sample calls use with up to count servers of the set, each at most once, drawn evenly; those that use does not want are taken out.
+func (d *Dispatcher) sample(s *serverSet, count int, use func(*Executor) (keep bool)) {
+	for i := 0; i < min(count, len(s.servers)); {
+		s.swap(i, i+d.chance.IntN(len(s.servers)-i))
+		if e := s.servers[i]; use(e) {
+			i++
+		} else {
+			s.remove(e)
+		}
+	}
+}
+
+// search is one draw under way.
+type search struct {
+	t      *Txn
+	count  int
+	run    int64
+	mean   float64 // load per server
+	roam   bool    // zones are alike
+	well   bool    // one that is not sick may be sent to
+	any    bool    // one may be sent to
+	number int     // of the draw
+}
+
+// look considers the candidates of a draw.
+func (d *Dispatcher) look(s *search) {
+	if len(d.fleet.servers) <= sampleSize {
+		for _, e := range d.fleet.servers {
+			d.consider(s, e)
+		}
+		return
+	}
+	d.sample(&d.kept, sampleSize, func(e *Executor) bool {
+		if !e.known || d.now >= e.keptTill {
+			return false
+		}
+		if e.busy == 0 {
+			d.consider(s, e)
+		}
+		return true
+	})
+	d.lookRamping(s)
+	if n := len(d.drawn); n == s.count && d.drawn[n-1].wait < firstStep {
+		return
+	}
+	d.sample(&d.fleet, sampleSize, func(e *Executor) bool {
+		d.consider(s, e)
+		return true
+	})
+	for _, e := range d.fleet.servers {
+		if s.any {
+			break
+		}
+		d.consider(s, e)
+	}
+}
+
+// lookRamping considers the servers in slow start that this node may send to now, sampleSize at most, from a random place on.
+func (d *Dispatcher) lookRamping(s *search) {
+	for i := 0; i < len(d.ramping.servers); {
+		if e := d.ramping.servers[i]; e.known && d.terms.warmth(e, d.now) < 1 {
+			i++
+		} else {
+			d.ramping.remove(e)
+		}
+	}
+	count := len(d.ramping.servers)
+	if count == 0 {
+		return
+	}
+	first, considered := d.chance.IntN(count), 0
+	for i := 0; i < count && considered < sampleSize; i++ {
+		if e := d.ramping.servers[(first+i)%count]; d.mayRamp(e) {
+			d.consider(s, e)
+			considered++
+		}
+	}
+}
+
+// mayRamp says whether it may be this node's turn at a server in slow start. It is worked out once a turn; what is sent is held to
+// the budget by warmEnough.
+func (d *Dispatcher) mayRamp(e *Executor) bool {
+	if d.terms.Shares != nil {
+		return true
+	}
+	if d.now >= e.turnTill {
+		_, since, turn, _ := d.part(e)
+		e.turn, e.turnTill = turn, since+max(d.terms.Fall/turns, 1)
+	}
+	return e.turn
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -43,6 +43,7 @@
 	way        = 64   // part of an expiry that is left for the way to the client; ours must come before it goes
 	heed       = 1e9  // ns; for so long an own job that ended well beats what others say; news takes about that
 	askAgain   = 1e8  // ns, at most; that word of room counts, and until others are asked; some reports a second
+	firstStep  = 1e9  // between the waits of two steps of preference, more than any draw gives
 	keyCounts  = 256  // txns after which counts by key are halved; tells a tenth of all from a hundredth
 )
 
@@ -57,7 +58,10 @@
 	failed, counted    int   // calls for the list since one succeeded; txns counted in things
 	spent, prompt      int64 // on the last of those calls; least time seen from sending to the note of the start
 	chance             *rand.Rand
-	fleet, drawn, near []*Executor // near and drawn are scratch space of homes and draw
+	fleet              serverSet   // all that are listed
+	kept, ramping, low serverSet   // of these: with an idle connection; in slow start; whose limit is under firstRoom
+	drawn, near        []*Executor // scratch space of homes and draw
+	draws              int         // so far
 	queue              []*Txn
 	recent             map[family][]last
 	runs               []spread          // by scheme: running time over hint, or in seconds without one
@@ -79,7 +83,11 @@
 		recent: map[family][]last{}, things: map[uint64]*thing{}, models: map[int]*model{},
 		starts: map[bool]*ledger{true: {}, false: {}}, cures: make([]ledger, len(terms.Schemes)),
 		runs:    make([]spread, len(terms.Schemes)),
-		tenants: make([]ledger, len(terms.Tenants)), schemes: make([]ledger, len(terms.Schemes))}
+		tenants: make([]ledger, len(terms.Tenants)), schemes: make([]ledger, len(terms.Schemes)),
+		fleet:   serverSet{at: func(e *Executor) *int { return &e.inFleet }},
+		kept:    serverSet{at: func(e *Executor) *int { return &e.inKept }},
+		ramping: serverSet{at: func(e *Executor) *int { return &e.inRamping }},
+		low:     serverSet{at: func(e *Executor) *int { return &e.inLow }}}
 	if terms.Subscribe {
 		d.Ask()
 	}
@@ -91,17 +99,16 @@
 // List takes the list or changes to it; whole says that absent executors are gone.
 func (d *Dispatcher) List(whole bool, members []Member) {
 	d.failed, d.spent = 0, 0
-	for i := 0; whole && i < len(d.fleet); i++ {
-		d.fleet[i].State = Gone
+	gone := whole
+	for i := 0; whole && i < len(d.fleet.servers); i++ {
+		d.fleet.servers[i].State = Gone
 	}
 	for _, m := range members {
 		e := m.Executor
 		if !e.known || m.Since > e.since {
 			e.h, e.hAt, e.limit, e.size = 1, d.now, firstRoom, 1
 		}
-		if !e.known {
-			d.fleet = append(d.fleet, e)
-		}
+		d.fleet.add(e)
 		if d.models[m.Kind] == nil {
 			d.models[m.Kind] = &model{bound: d.terms.need(m.Kind)}
 		}
@@ -111,14 +118,38 @@
 		}
 		e.known, e.State, e.since, e.model = true, m.State, m.Since, d.models[m.Kind]
 		e.zone, e.kind, e.cell = m.Zone, m.Kind, m.Cell
+		if gone = gone || m.State == Gone; d.terms.warmth(e, d.now) < 1 {
+			e.turnTill = 0
+			d.ramping.add(e)
+		}
+	}
+	if gone {
+		d.forget()
 	}
+	// Danger: a list of thousands that is walked at each change of one of them. Load is told where weights are live.
 	d.load = 0
-	d.fleet = slices.DeleteFunc(d.fleet, func(e *Executor) bool {
+	for i := 0; d.terms.Live && i < len(d.fleet.servers); i++ {
+		e := d.fleet.servers[i]
+		d.load += e.size/e.left - 1
+	}
+}
+
+// forget drops the servers that are gone.
+func (d *Dispatcher) forget() {
+	left := d.fleet.servers[:0]
+	for _, e := range d.fleet.servers {
 		if e.known = e.State != Gone; e.known {
-			d.load += e.size/e.left - 1
+			left = append(left, e)
+			e.inFleet = len(left)
+		} else {
+			e.inFleet = 0
+			d.kept.remove(e)
+			d.ramping.remove(e)
+			d.low.remove(e)
 		}
-		return !e.known
-	})
+	}
+	clear(d.fleet.servers[len(left):])
+	d.fleet.servers = left
 }
 
 // quiet is how long no call for the list may be out. Danger: longer, and what counts as told is unknown.
@@ -127,7 +158,7 @@
 // Follow asks for news of the list for the first time; where there is a list to go by, at a time by chance.
 // Danger: nodes that start or fail together ask together; a service that falls behind serves none of them.
 func (d *Dispatcher) Follow() {
-	d.call(d.quiet()*d.chance.Float64()*float64(min(len(d.fleet), 1)), d.quiet())
+	d.call(d.quiet()*d.chance.Float64()*float64(min(len(d.fleet.servers), 1)), d.quiet())
 }
 
 // ListFailed takes a failed call for the list; the next waits, for the same danger, by what two of them cost.
@@ -448,57 +479,70 @@
 // draw picks executors by chance and weight, idle and prompt ones before uncrowded ones before any with room,
 // home first where crossing is dear. The least of waits drawn at rates of weights is a draw by weight.
 func (d *Dispatcher) draw(t *Txn, count int) []*Executor {
-	run, fleet, well, mean := d.running(t, 0.5), d.fleet, false, d.busy/float64(len(d.fleet))
-	if d.drawn = d.drawn[:0]; t.thing.shut(t.Slots, d.now, run) {
+	mean := d.busy / float64(len(d.fleet.servers))
+	d.draws++
+	s := &search{t: t, count: count, run: d.running(t, 0.5), mean: mean, number: d.draws}
+	if d.drawn = d.drawn[:0]; t.thing.shut(t.Slots, d.now, s.run) {
 		return nil
 	}
 	// Danger: a zone with more traffic than its machines can carry drowns while others idle.
-	roam := d.terms.CrossPrice < dear || d.chance.Float64()*d.prompts(false) > d.prompts(true)
-	if t.Key != 0 {
-		// Danger: what has homes in each zone is fetched as many times more, and others' make room.
-		roam = roam || d.terms.CrossPrice < d.terms.FetchPrice
-		fleet = d.homes(t, roam)
-	}
-	for _, e := range fleet {
-		sick := d.sick(e)
-		if sick && well || !d.allowed(t, e) {
-			continue
-		}
-		// The sick count only if none else remains, with or without room.
-		if !sick && !well {
-			well, d.drawn = true, d.drawn[:0]
-		}
-		if e.shut(t.Slots, d.now, run) || d.full(t, e) {
-			continue
-		}
-		// One that was prompt and has a connection open still is likelier to have room, without a handshake.
-		step := 1.0
-		if e.busy == 0 && e.limit >= 1 && (d.now < e.keptTill || d.terms.warmth(e, d.now) < 1) {
-			step = 0
-		} else if e.busy >= margin+mean {
-			step = 2
-		}
-		if !roam && e.zone != d.terms.Zone {
-			step += 3
-		}
-		// Danger: of many nodes each holds connections to all. What is beyond this one's part comes after the rest.
-		step += 6 * float64(d.terms.farther(t, e, d.now))
-		e.wait = step*1e9 - math.Log(1-d.chance.Float64())/d.weight(t, e)
-		if i, _ := slices.BinarySearchFunc(d.drawn, e, byWait); i < count {
-			d.drawn = slices.Insert(d.drawn, i, e)
-		}
+	s.roam = d.terms.CrossPrice < dear || d.chance.Float64()*d.prompts(false) > d.prompts(true)
+	if t.Key == 0 {
+		d.look(s)
+		return d.drawn[:min(count, len(d.drawn))]
+	}
+	// Danger: what has homes in each zone is fetched as many times more, and others' make room.
+	s.roam = s.roam || d.terms.CrossPrice < d.terms.FetchPrice
+	for _, e := range d.homes(t, s.roam) {
+		d.consider(s, e)
 	}
 	return d.drawn[:min(count, len(d.drawn))]
 }
 
+// consider draws a wait for a server, if it may be sent to, and keeps it if that is among the least; each server once a draw.
+func (d *Dispatcher) consider(s *search, e *Executor) {
+	if e.draw == s.number {
+		return
+	}
+	e.draw = s.number
+	t, sick := s.t, d.sick(e)
+	if sick && s.well || !d.allowed(t, e) {
+		return
+	}
+	s.any = true
+	// The sick count only if none else remains, with or without room.
+	if !sick && !s.well {
+		s.well, d.drawn = true, d.drawn[:0]
+	}
+	if e.shut(t.Slots, d.now, s.run) || d.full(t, e) {
+		return
+	}
+	// One that was prompt and has a connection open still is likelier to have room, without a handshake.
+	step := 1.0
+	if e.busy == 0 && e.limit >= 1 && (d.now < e.keptTill || d.terms.warmth(e, d.now) < 1) {
+		step = 0
+	} else if e.busy >= margin+s.mean {
+		step = 2
+	}
+	if !s.roam && e.zone != d.terms.Zone {
+		step += 3
+	}
+	// Danger: of many nodes each holds connections to all. What is beyond this one's part comes after the rest.
+	step += 6 * float64(d.terms.farther(t, e, d.now))
+	e.wait = step*firstStep - math.Log(1-d.chance.Float64())/d.weight(t, e)
+	if i, _ := slices.BinarySearchFunc(d.drawn, e, byWait); i < s.count {
+		d.drawn = slices.Insert(d.drawn, i, e)
+	}
+}
+
 // homes are the few that txns about one thing are drawn among: by a chance that all nodes share, and by size.
 // Danger: what an executor must fetch for each txn jams the store for all, and the jam feeds itself.
 func (d *Dispatcher) homes(t *Txn, roam bool) []*Executor {
-	count := 1 + int(d.prompts(true)+spare) + (len(d.fleet)*max(t.thing.n-1, 0)+d.counted/2)/d.counted
+	count := 1 + int(d.prompts(true)+spare) + (len(d.fleet.servers)*max(t.thing.n-1, 0)+d.counted/2)/d.counted
 	// Danger: what waits at a crowded home is late; what goes on and on is fetched everywhere. One stands by.
 	few := count
 	d.near, count = d.near[:0], count+1
-	for _, e := range d.fleet {
+	for _, e := range d.fleet.servers {
 		luck := float64(rand.NewPCG(t.Key, e.Mark).Uint64()>>11+1) / (1 << 53)
 		if e.wait = -math.Log(luck) / e.size; t.Scheme.Kind < 0 && e.model.bound {
 			e.wait /= leave
@@ -519,11 +563,11 @@
 		d.near = slices.Insert(d.near, i, e)
 	}
 	if len(d.near) == 0 {
-		return d.fleet
+		return d.fleet.servers
 	}
 	d.near = d.near[:min(count, len(d.near))]
 	for _, e := range d.near {
-		if d.terms.Live && e.wait > 0 && e.size/e.left-1 > max(crowded*d.load/float64(len(d.fleet)), 1) {
+		if d.terms.Live && e.wait > 0 && e.size/e.left-1 > max(crowded*d.load/float64(len(d.fleet.servers)), 1) {
 			e.wait += 2e9
 		}
 	}
@@ -579,6 +623,7 @@
 			least := min(e.limit, e.model.slots/float64(max(d.terms.Nodes, 1))*math.Exp2(-e.late))
 			d.adjust(p, e.busy, false)
 			e.room, e.limit, e.late = 0, max(e.limit, least), e.late+1
+			d.lowered(e)
 			d.awaitStart(p)
 		}
 	})
@@ -640,6 +685,7 @@
 	e := p.Executor
 	if d.starts[e.zone == d.terms.Zone].fade(d.now).count(prompt); !prompt {
 		d.halve(&e.gate, p.sent, busy)
+		d.lowered(e)
 		return
 	}
 	// Danger: executors that turn part away though not full stand empty. A full one would not start at once.
@@ -648,8 +694,19 @@
 		e.limit += growth * min(e.limit, 1)
 	}
 	// Danger: limits that only an executor's own starts raise keep machines empty that had one long job.
-	for _, x := range d.fleet {
-		x.limit = max(x.limit, min(x.limit+growth/2*min(x.limit, 1)/float64(len(d.fleet)), firstRoom))
+	for i := 0; i < len(d.low.servers); i++ {
+		x := d.low.servers[i]
+		if x.limit = max(x.limit, min(x.limit+growth/2*min(x.limit, 1)/float64(len(d.fleet.servers)), firstRoom)); x.limit >= firstRoom {
+			d.low.remove(x)
+			i--
+		}
+	}
+}
+
+// lowered notes a server whose limit is under the one that all start with.
+func (d *Dispatcher) lowered(e *Executor) {
+	if e.known && e.limit < firstRoom {
+		d.low.add(e)
 	}
 }
 
@@ -749,6 +806,9 @@
 		}
 		if !p.blamed {
 			e.h, e.hAt, e.keptTill = min(d.health(e)+reward, 1), d.now, d.now+d.terms.IdleClose
+			if e.known {
+				d.kept.add(e)
+			}
 			d.rank(p, float64(took)/t.unit(), false)
 		}
 		d.ran(p, d.now-max(p.sent, p.started))
--- a/dispatch/figures.go
+++ b/dispatch/figures.go
@@ -8,7 +8,7 @@
 // while others remain.
 func (d *Dispatcher) Figures() (known, excluded int) {
 	sick := 0
-	for _, e := range d.fleet {
+	for _, e := range d.fleet.servers {
 		switch {
 		case e.State != Up:
 			excluded++
@@ -16,10 +16,10 @@
 			sick++
 		}
 	}
-	if sick+excluded < len(d.fleet) {
+	if sick+excluded < len(d.fleet.servers) {
 		excluded += sick
 	}
-	return len(d.fleet), excluded
+	return len(d.fleet.servers), excluded
 }
 
 // Own says whether this node's part of cold executors' budgets is this module's to use. Taken over from another process
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -287,6 +287,11 @@
 	since            int64
 	known            bool
 
+	inFleet, inKept, inRamping, inLow int // places in the dispatcher's sets, counted from one
+	draw                              int // the last draw that considered it
+	turn                              bool
+	turnTill                          int64 // until when turn holds: whether this node may send to it in slow start
+
 	pool        [poolSize]uint8
 	pooled, sum int
 	next        int
