--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -166,11 +166,23 @@
 		members = append(members, n.present(m))
 	}
 	n.module.List(l.Full, members)
-	for id, m := range n.members {
-		if m.executor.State == dispatch.Gone {
-			delete(n.members, id)
-			n.other()
+	// Danger: a map of thousands that is walked at each change of one of them.
+	if !l.Full {
+		for _, e := range l.Entries {
+			n.forget(e.ID)
 		}
+		return
+	}
+	for id := range n.members {
+		n.forget(id)
+	}
+}
+
+// forget drops a server that is gone.
+func (n *Node) forget(id string) {
+	if m := n.members[id]; m != nil && m.executor.State == dispatch.Gone {
+		delete(n.members, id)
+		n.other()
 	}
 }
 
