A node that is short of processor time sheds what it can't answer in time, at once

Cause of the incident: a node counted a request's time from when it read it, took all that it read, and let each step wait as long as it took to come to it. Past saturation everything taken was answered too late and updates of the list came after the grace: congestion collapse, by two rules. Lines: routing.Serve (Expiry from the clock at reading), dispatch.Arrive and place (no bound by own lateness). Without a lag nothing changes.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -62,6 +62,7 @@
 	kept, ramping, low serverSet   // of these: with an idle connection; in slow start; whose limit is under firstRoom
 	drawn, near        []*Executor // scratch space of homes and draw
 	draws              int         // so far
+	lag                int64       // how long work of this process waits until it runs, ns
 	queue              []*Txn
 	recent             map[family][]last
 	runs               []spread          // by scheme: running time over hint, or in seconds without one
@@ -190,7 +191,11 @@
 func (d *Dispatcher) Overdue() bool { return d.now >= d.by }
 
 func (d *Dispatcher) Arrive(t *Txn) {
-	t.Expiry, t.arrived, t.over = d.till(t), d.now, len(d.terms.Tenants) > 0 && d.overShare(t)
+	if d.overloaded(t) {
+		d.finish(t, Overloaded)
+		return
+	}
+	t.Expiry, t.arrived, t.over = d.till(t), d.now-t.Waited, len(d.terms.Tenants) > 0 && d.overShare(t)
 	// Danger: the first job that runs far longer than its hint would speak for all to come.
 	for r := &d.runs[t.Scheme.Index]; t.Hint > 0 && r.n < 3; {
 		r.add(1)
@@ -233,7 +238,7 @@
 // Danger: a txn that is forgotten. This alarm answers it whatever else happens.
 func (d *Dispatcher) Expire(t *Txn, at int64) {
 	t.Expiry = min(t.Expiry, at)
-	t.forget = d.door.Alarm(t.Expiry-d.now-2*d.terms.Tick, func() { d.finish(t, TimeUp) })
+	t.forget = d.door.Alarm(t.Expiry-d.now-d.headroom(), func() { d.finish(t, TimeUp) })
 }
 
 // overShare tells by chance whether a txn lies beyond its tenant's share, by the other tenants' arrivals.
@@ -276,6 +281,9 @@
 	asking := d.terms.Probes && !d.terms.Live && (t.rounds < asks || d.toldAt >= t.arrived)
 	if len(t.Postings) >= d.terms.MostPostings || t.anchor() != nil && d.spanOver(t) {
 		d.finish(t, NoAttempt)
+	} else if d.stale() {
+		t.look = d.now + leastLag*d.terms.Tick
+		d.enqueue(t)
 	} else if drawn := d.draw(t, asks); len(drawn) == 0 {
 		// Danger: in a jam a node spends its processor time on looking for room that is not there.
 		t.look, t.looks = d.now+d.terms.Tick*min(t.looks, 16), t.looks+1
@@ -593,7 +601,7 @@
 
 // Stands says at a posting's first byte whether it may still leave. Danger: news that came while it waited.
 func (d *Dispatcher) Stands(p *Posting) bool {
-	return p.Executor.State == Up && !p.Txn.Over && !p.withdrawn
+	return p.Executor.State == Up && !p.Txn.Over && !p.withdrawn && !d.stale()
 }
 
 // judge looks after a while at a posting that is still out.
@@ -671,6 +679,9 @@
 		}
 		return
 	}
+	if !d.hedges() {
+		return
+	}
 	// Danger: copies in a full fleet take the room of txns that wait for it, here or at many other nodes.
 	for _, e := range d.draw(t, 1) {
 		hit, gain := d.prompts(e.zone == d.terms.Zone), 1-t.Scheme.LateValue+d.terms.Missed
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -204,6 +204,7 @@
 	Key      uint64 // what it is about, below 2^53; 0: not told
 	Hint     int64  // expected work on a standard core; 0: not told
 	Expiry   int64  // clock time
+	Waited   int64  // ns, how long it may have lain unread at this node; its deadline is less by that already
 	Postings []*Posting
 	Over     bool   // the final answer is given, or the client has left
 	Reason   Reason // why it was refused or failed, once it is
@@ -232,10 +233,11 @@
 	LateAnswer          // it waits at a server, and a late answer earns nothing
 	ClientsTime         // an attempt ran until the client's time was over
 	ErrsAnywhere        // it ended in errors at two servers, as such requests do
+	Overloaded          // this process is too far behind
 )
 
 func (r Reason) String() string {
-	return [...]string{"", "deadline", "no attempt left", "no hope", "late at a server", "client's time is over", "errs anywhere"}[r]
+	return [...]string{"", "deadline", "no attempt left", "no hope", "late at a server", "client's time is over", "errs anywhere", "overloaded"}[r]
 }
 
 // anchor is the first posting that may have run or still may.
--- a/internal/routing/lag.go
+++ b/internal/routing/lag.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"runtime"
 	"sync/atomic"
 	"time"
@@ -27,14 +28,14 @@
 // at once how long it did.
 type lagMeter struct {
 	last atomic.Int64 // ns; as measured last
-	due  atomic.Int64 // ns since start, when the next measurement should end
+	due  atomic.Int64 // ns since start, when the next measurement should end; far off while none is made
 	now  func() int64 // ns since start, monotonic
 }
 
 func newLagMeter() *lagMeter {
 	start := time.Now()
 	m := &lagMeter{now: func() int64 { return int64(time.Since(start)) }}
-	m.due.Store(int64(lagInterval))
+	m.due.Store(math.MaxInt64)
 	return m
 }
 
@@ -54,6 +55,8 @@
 		timer.Reset(lagInterval)
 		select {
 		case <-ctx.Done():
+			m.due.Store(math.MaxInt64)
+			m.last.Store(0)
 			return
 		case <-timer.C:
 		}
--- a/internal/routing/life.go
+++ b/internal/routing/life.go
@@ -73,16 +73,19 @@
 	if !n.fresh(q.ID) {
 		return &protocol.Answer{Status: http.StatusConflict}
 	}
+	// Danger: a client counts its time from when it sent, and a node that is behind reads late what lay in the socket meanwhile.
+	waited := n.lag.Lag()
 	l := &life{request: q, answer: make(chan *protocol.Answer, 1)}
-	t := &dispatch.Txn{Tag: q.ID, Tenant: q.Tenant, Slots: q.Slots, Memory: q.Memory, Key: q.Key, Hint: q.Hint, Scheme: n.terms.Schemes[q.Scheme]}
+	t := &dispatch.Txn{Tag: q.ID, Tenant: q.Tenant, Slots: q.Slots, Memory: q.Memory, Key: q.Key, Hint: q.Hint, Waited: waited,
+		Scheme: n.terms.Schemes[q.Scheme]}
 	err := n.event(func() {
-		t.Expiry = n.clock() + int64(q.Budget)
+		t.Expiry = n.clock() + int64(q.Budget) - waited
 		n.taken++
 		l.number, l.began = n.taken, n.clock()
 		n.lives[t] = l
 		n.module.Arrive(t)
 		// Danger: where clocks may differ the module moves the expiry; a node that ends has no more time for all that.
-		if t.Expiry > n.till {
+		if !t.Over && t.Expiry > n.till {
 			n.module.Expire(t, n.till)
 		}
 	})
@@ -152,6 +155,7 @@
 
 func (l *leave) Send() bool {
 	l.node.mu.Lock()
+	l.node.module.Behind(l.node.lag.Lag())
 	stands := l.node.module.Stands(l.posting) && l.node.at(l.posting.Executor) == l.job.Address
 	l.node.mu.Unlock()
 	if !stands || l.ctx.Err() != nil {
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -125,6 +125,7 @@
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		n.module.At(n.clock())
+		n.module.Behind(n.lag.Lag())
 		step()
 		n.module.Settle()
 	})
