transport: an executor is told what its client has left when the request goes out

Change: it is written anew as the request gets its connection, less the process's lag, and a request that waits 0.1 s more does not go out.

--- a/cmd/fernrail/main.go
+++ b/cmd/fernrail/main.go
@@ -172,6 +172,7 @@
 		carrier.Dials(p.dial)
 	}
 	node := routing.New(c.Terms, c.Seed, c.Known, carrier, c.Probe, transport.NewDiscovery(c.Discovery, c.Names), held, log)
+	carrier.Behind(node.Lag)
 	if share != nil && c.Fleet.Quorum > 0 {
 		node.Witness(share.Saw)
 	}
--- a/internal/protocol/executor.go
+++ b/internal/protocol/executor.go
@@ -173,12 +173,29 @@
 
 // Job is one posting as it goes out.
 type Job struct {
-	Address string
-	Request *Request
-	Budget  time.Duration // how long the node will wait
-	Admit   Admission     // nil: none is needed
+	Address  string
+	Request  *Request
+	Deadline time.Time   // when the node stops to wait, by the monotonic clock
+	Admit    Admission   // nil: none is needed
+	told     time.Time   // when Deadline was last told as a span
+	header   http.Header // of the request as it goes out
 }
 
+// overtold is by how much the span that an executor is told may be over what is left when its request's first byte goes out. The
+// platform allows 0.15 s; the rest is for the write.
+const overtold = 100 * time.Millisecond
+
+// Tell writes how long the node will wait into the request's header, as of the moment at which its first byte is expected to go out.
+// It is called before the request is written.
+// Danger: a span that was worked out before a connection came up, or before the process stood still, is longer than what is left.
+func (j *Job) Tell(now time.Time) {
+	j.told = now
+	j.header.Set("X-Budget-Ms", strconv.FormatInt(max(j.Deadline.Sub(now).Milliseconds(), 1), 10))
+}
+
+// Overtold says whether too much time has passed since Tell for the request to go out as it is.
+func (j *Job) Overtold(now time.Time) bool { return !j.told.IsZero() && now.Sub(j.told) > overtold }
+
 // Admission is asked at the very moment at which a job's first byte would go out, and told when it has. It may be asked again
 // where what it held back goes to another connection.
 type Admission interface {
@@ -195,11 +212,11 @@
 // Encode makes the request to the executor.
 func (j *Job) Encode() *http.Request {
 	target := &url.URL{Scheme: "http", Host: j.Address, Opaque: j.Request.Target} // goes on byte for byte
-	header := j.Request.Header.Clone()
-	header.Set("X-Budget-Ms", strconv.FormatInt(j.Budget.Milliseconds(), 10))
-	if header["User-Agent"] == nil {
-		header["User-Agent"] = nil // or the library would put its own
+	j.header = j.Request.Header.Clone()
+	j.Tell(time.Now())
+	if j.header["User-Agent"] == nil {
+		j.header["User-Agent"] = nil // or the library would put its own
 	}
 	return &http.Request{Method: http.MethodPost, URL: target, Host: j.Address, ProtoMajor: 1, ProtoMinor: 1,
-		ContentLength: int64(len(j.Request.Body)), Body: once{bytes.NewReader(j.Request.Body)}, Header: header}
+		ContentLength: int64(len(j.Request.Body)), Body: once{bytes.NewReader(j.Request.Body)}, Header: j.header}
 }
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"fernrail/dispatch"
@@ -42,9 +43,19 @@
 		t.Errorf("%+v", q)
 	}
 	// Danger: a mark against repeats that stays behind, or a header of the client's connection that goes on.
-	out := (&Job{Address: "10.0.0.1:7", Request: q, Budget: 300 * time.Millisecond}).Encode()
 	var text strings.Builder
-	out.Write(&text)
+	synctest.Test(t, func(t *testing.T) {
+		job := &Job{Address: "10.0.0.1:7", Request: q, Deadline: time.Now().Add(500 * time.Millisecond)}
+		out := job.Encode()
+		time.Sleep(200 * time.Millisecond) // its connection comes up; what is told is what is left then
+		if !job.Overtold(time.Now()) {
+			t.Error("it would go out as it was told before")
+		}
+		if job.Tell(time.Now()); job.Overtold(time.Now()) {
+			t.Error("it would not go out")
+		}
+		out.Write(&text)
+	})
 	for _, want := range []string{"POST /pay/x%2f<?obj=7f HTTP/1.1\r\n", "X-Call-Id: 9b1f\r\n", "X-Budget-Ms: 300\r\n",
 		"Idempotency-Key: k\r\n", "Content-Length: 4\r\n", "\r\n\r\nbody"} {
 		if !strings.Contains(text.String(), want) {
--- a/internal/routing/life.go
+++ b/internal/routing/life.go
@@ -158,7 +158,7 @@
 	l.node.module.Behind(l.node.lag.Lag())
 	stands := l.node.module.Stands(l.posting) && l.node.at(l.posting.Executor) == l.job.Address
 	l.node.mu.Unlock()
-	if !stands || l.ctx.Err() != nil {
+	if !stands || l.ctx.Err() != nil || l.job.Overtold(time.Now()) {
 		return false
 	}
 	// Danger: word that a client has closed waits behind work at a full node, and its job is begun for nobody.
--- a/internal/routing/node.go
+++ b/internal/routing/node.go
@@ -150,6 +150,9 @@
 	return len(n.members) > 0
 }
 
+// Lag is how long work of this process waits until it runs, in ns.
+func (n *Node) Lag() int64 { return n.lag.Lag() }
+
 // Figures counts the executors of the list, and those that the draw leaves out.
 func (n *Node) Figures() (known, excluded int) {
 	n.event(func() { known, excluded = n.module.Figures() })
@@ -205,10 +208,10 @@
 	if p.Limit > 0 {
 		till = min(till, n.clock()+p.Limit)
 	}
-	budget := time.Duration(till - n.clock())
-	ctx, withdraw := context.WithTimeout(context.Background(), budget)
+	deadline := time.Now().Add(time.Duration(till - n.clock()))
+	ctx, withdraw := context.WithDeadline(context.Background(), deadline)
 	n.out[p] = withdraw
-	job := &protocol.Job{Request: n.lives[p.Txn].request, Budget: budget, Address: n.at(p.Executor)}
+	job := &protocol.Job{Request: n.lives[p.Txn].request, Deadline: deadline, Address: n.at(p.Executor)}
 	var charge Charge
 	if n.purse != nil {
 		if charge = n.purse.Charge(p.Executor.Tag, n.tenant(p.Txn), p.Number > 0, p.Part); charge == nil {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -176,10 +176,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &carrier{script: serves(50 * time.Millisecond)}
 		n := New(terms(), 1, known("a", "b"), c, time.Second, &lister{}, nil, zerolog.Nop())
+		start := time.Now()
 		if a := n.Serve(t.Context(), ask("j", 0, time.Second)); a == nil || a.Status != 200 || a.Body != "r" {
 			t.Fatalf("%+v", a)
 		}
-		if j := c.jobs[0]; c.sent() != 1 || !strings.HasSuffix(j.Address, ":7") || j.Budget != time.Second {
+		if j := c.jobs[0]; c.sent() != 1 || !strings.HasSuffix(j.Address, ":7") || j.Deadline.Sub(start) != time.Second {
 			t.Errorf("%+v", j)
 		}
 		time.Sleep(time.Minute)
--- a/internal/transport/executors.go
+++ b/internal/transport/executors.go
@@ -33,6 +33,7 @@
 	values    protocol.Values // of load reports
 	wrote     func()          // told of each posting whose last byte was written
 	dials     func(address string) bool
+	lag       func() int64                                                         // how long work of this process waits until it runs, in ns
 	connect   func(ctx context.Context, network, address string) (net.Conn, error) // tests alone put another one here
 }
 
@@ -40,7 +41,7 @@
 // what their load reports tell by which name, wrote is told of each posting whose last byte was written.
 func NewExecutors(d *Descriptors, dial, idle time.Duration, values protocol.Values, wrote func()) *Executors {
 	dialer := &net.Dialer{Timeout: dial, KeepAlive: -1}
-	x := &Executors{values: values, wrote: wrote, dials: func(string) bool { return true }, connect: dialer.DialContext}
+	x := &Executors{values: values, wrote: wrote, dials: func(string) bool { return true }, lag: func() int64 { return 0 }, connect: dialer.DialContext}
 	x.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if !d.take(executors) {
@@ -71,14 +72,18 @@
 	return x
 }
 
+// Behind has the process's lag known; it is called before the node serves.
+func (x *Executors) Behind(lag func() int64) { x.lag = lag }
+
 // Dials has each new connection to an executor asked for first, at the moment at which it would be opened.
 func (x *Executors) Dials(may func(address string) bool) { x.dials = may }
 
 // hold is the connection that one request has, and how often it has been used.
 type hold struct {
-	conn  *conn
-	use   int
-	admit protocol.Admission // nil: it needs none
+	conn *conn
+	use  int
+	job  *protocol.Job // nil: it is a probe
+	lag  func() int64
 	// stray: the answer had come before the request's first byte was written, a second one to an earlier request.
 	// Danger: it says that the earlier one never ran, the library takes it for this one's, and what runs is sent again.
 	stray bool
@@ -89,7 +94,12 @@
 		GotConn: func(i httptrace.GotConnInfo) {
 			h.conn = i.Conn.(*conn)
 			h.use = h.conn.owner.busy(h.conn)
-			h.conn.start(h.admit)
+			if h.job == nil {
+				h.conn.start(nil)
+				return
+			}
+			h.job.Tell(time.Now().Add(time.Duration(h.lag())))
+			h.conn.start(h.job.Admit)
 		},
 		GotFirstResponseByte: func() { h.stray = h.conn.turn.Load() != heard },
 		PutIdleConn: func(err error) {
@@ -106,7 +116,7 @@
 	ended func(protocol.End)) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	h := hold{admit: job.Admit}
+	h := hold{job: job, lag: x.lag}
 	trace := h.trace()
 	trace.WroteRequest = func(i httptrace.WroteRequestInfo) {
 		if i.Err == nil {
--- /dev/null
+++ b/internal/transport/told_span_test.go
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package transport
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"fernrail/dispatch"
+	"fernrail/internal/protocol"
+)
+
+// TestToldSpanIsWhatIsLeft: an executor is told no more than what its client has left when the request goes out, though a connection
+// took its time to come up or the process is behind. Danger: it was worked out at the decision, and an executor works for nobody.
+func TestToldSpanIsWhatIsLeft(t *testing.T) {
+	told := make(chan time.Duration, 1)
+	executor := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		span, _ := strconv.Atoi(r.Header.Get("X-Budget-Ms"))
+		told <- time.Duration(span) * time.Millisecond
+		fmt.Fprintf(w, `{"id":"j","from":"x","state":"done","result":"r"}`+"\n")
+	}))
+	defer executor.Close()
+	for _, lag := range []time.Duration{0, 80 * time.Millisecond} {
+		_, x := fresh()
+		x.Behind(func() int64 { return int64(lag) })
+		connect := x.connect
+		x.connect = func(ctx context.Context, network, address string) (net.Conn, error) {
+			time.Sleep(300 * time.Millisecond)
+			return connect(ctx, network, address)
+		}
+		deadline := time.Now().Add(time.Second)
+		job := &protocol.Job{Address: strings.TrimPrefix(executor.URL, "http://"), Deadline: deadline,
+			Request: &protocol.Request{ID: "j", Target: "/p", Header: http.Header{"X-Call-Id": {"j"}}, Body: []byte("b")}}
+		x.Do(t.Context(), job, func(protocol.Line) {}, func(e protocol.End) {
+			if e.Outcome != dispatch.Settled {
+				t.Errorf("%v: %v", e.Outcome, e.Cause)
+			}
+		})
+		if span := <-told; span > 700*time.Millisecond-lag || span < 300*time.Millisecond {
+			t.Errorf("lag %v: the executor was told %v of at most %v", lag, span, 700*time.Millisecond-lag)
+		}
+	}
+}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -106,7 +106,7 @@
 }
 
 func do(ctx context.Context, x *Executors, address string, then ...func()) (e ending) {
-	job := &protocol.Job{Address: address, Budget: time.Second, Request: &protocol.Request{ID: "j", Target: "/p",
+	job := &protocol.Job{Address: address, Deadline: time.Now().Add(time.Second), Request: &protocol.Request{ID: "j", Target: "/p",
 		Header: http.Header{"X-Call-Id": {"j"}, "Idempotency-Key": {"k"}}, Body: []byte("b")}}
 	ends := 0
 	x.Do(ctx, job, func(l protocol.Line) { e.heard = append(e.heard, l.State) },
