transport: a connection that a late process looked at too late is nobody's fault

A related path: the dial's timer ran on while the process was behind, so that connections that had come up counted as failed, an attempt was spent and the server lost reliability (executors.go, dialer.Timeout; 60 of 630 profile samples of the saturated node were dials). Change: a dial has the lag more, at most twice its time; where the lag is longer than that, a timeout is this node's own (Unsent).

--- a/internal/transport/executors.go
+++ b/internal/transport/executors.go
@@ -27,6 +27,9 @@
 // errShort says that a connection was not tried, for want of a descriptor.
 var errShort = errors.New("no descriptor left")
 
+// errBehind says that a connection did not come up in time, as far as a process can tell that was itself late to look.
+var errBehind = errors.New("no connection in time, at a process that is behind")
+
 // Executors holds the connections to executors.
 type Executors struct {
 	transport *http.Transport
@@ -40,7 +43,7 @@
 // NewExecutors: dial is how long a connection may take to come up, idle how long executors keep an unused one, values
 // what their load reports tell by which name, wrote is told of each posting whose last byte was written.
 func NewExecutors(d *Descriptors, dial, idle time.Duration, values protocol.Values, wrote func()) *Executors {
-	dialer := &net.Dialer{Timeout: dial, KeepAlive: -1}
+	dialer := &net.Dialer{KeepAlive: -1}
 	x := &Executors{values: values, wrote: wrote, dials: func(string) bool { return true }, lag: func() int64 { return 0 }, connect: dialer.DialContext}
 	x.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -52,7 +55,7 @@
 				d.give(executors)
 				return nil, errHeld
 			}
-			c, err := x.connect(ctx, network, address)
+			c, err := x.dial(ctx, network, address, dial)
 			if err != nil {
 				d.give(executors)
 				return nil, err
@@ -72,6 +75,19 @@
 	return x
 }
 
+// dial opens a connection. A process that is behind looks at it later than it came up, and waits for it so much longer, but no
+// more than twice.
+// Danger: at a process that is behind each connection seems to be late, and its executor is blamed for it.
+func (x *Executors) dial(ctx context.Context, network, address string, within time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, within+min(time.Duration(x.lag()), within))
+	defer cancel()
+	c, err := x.connect(ctx, network, address)
+	if late := (net.Error)(nil); errors.As(err, &late) && late.Timeout() && time.Duration(x.lag()) > within {
+		return nil, errBehind
+	}
+	return c, err
+}
+
 // Behind has the process's lag known; it is called before the node serves.
 func (x *Executors) Behind(lag func() int64) { x.lag = lag }
 
@@ -226,7 +242,7 @@
 func failed(ctx context.Context, h *hold, err error) dispatch.Outcome {
 	used, kept := h.conn, h.use > 1
 	switch {
-	case used == nil && (errors.Is(err, errShort) || errors.Is(err, errHeld)):
+	case used == nil && (errors.Is(err, errShort) || errors.Is(err, errHeld) || errors.Is(err, errBehind)):
 		return dispatch.Unsent
 	case givenUp(ctx) != dispatch.Settled:
 		return givenUp(ctx)
