config: the list of servers in the file is decoded once, not three times

A related path: parse decoded the whole file to a tree, encoded its list again and decoded that (config.go, own). A node with a twentieth of a core and 3,200 servers needs a second and more for it at each start. Change: the list stays raw until it is read. Tests of config pass.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -94,15 +94,22 @@
 }
 
 func parse(text []byte, env func(string) string) (*Node, error) {
-	decoder := json.NewDecoder(bytes.NewReader(text))
-	decoder.UseNumber()
-	var tree map[string]any
-	if err := decoder.Decode(&tree); err != nil {
+	// Danger: a list of thousands of servers that is decoded three times, at a node that has to serve soon on a small share of a core.
+	var raw map[string]json.RawMessage
+	if err := json.NewDecoder(bytes.NewReader(text)).Decode(&raw); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	flat := map[string]string{}
-	for key, value := range tree {
-		if key != "known" && key != "settings" {
+	known := raw["known"]
+	delete(raw, "known")
+	tree, flat := map[string]any{}, map[string]string{}
+	for key, part := range raw {
+		decoder := json.NewDecoder(bytes.NewReader(part))
+		decoder.UseNumber()
+		var value any
+		if err := decoder.Decode(&value); err != nil {
+			return nil, fmt.Errorf("configuration: %w", err)
+		}
+		if tree[key] = value; key != "settings" {
 			flatten(flat, key, value)
 		}
 	}
@@ -157,11 +164,11 @@
 	if r.err != nil {
 		return nil, r.err
 	}
-	return n, n.own(flat, tree["known"], env)
+	return n, n.own(flat, known, env)
 }
 
 // own reads what stands beside the settings.
-func (n *Node) own(flat map[string]string, known any, env func(string) string) error {
+func (n *Node) own(flat map[string]string, known json.RawMessage, env func(string) string) error {
 	r := &reader{find: func(key string) (string, bool) { v, found := flat[key]; return v, found }}
 	address := func(variable, key string) string {
 		v := env(variable)
@@ -212,12 +219,8 @@
 	if n.Seed, err = strconv.ParseUint(r.word("seed"), 16, 64); err != nil {
 		return fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", r.word("seed"))
 	}
-	if n.Known = (&protocol.List{}); known != nil {
-		text, err := json.Marshal(known)
-		if err == nil {
-			n.Known, err = protocol.ReadList(text, n.Names)
-		}
-		if err != nil {
+	if n.Known = (&protocol.List{}); known != nil && string(known) != "null" {
+		if n.Known, err = protocol.ReadList(known, n.Names); err != nil {
 			return fmt.Errorf("known: %w", err)
 		}
 	}
