transport: a whole list that comes slowly is taken; a silence ends it, not its length

A related path: a call for the whole list had one second in all (discovery.go, context.WithTimeout over the body too). A list of thousands from a slow or crowded discovery was thrown away and asked for again, for good, so that no drain was ever heard of. TestSlowListIsTaken was seen to fail without it (given up after 1.0 s).

--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +13,9 @@
 	"fernrail/internal/protocol"
 )
 
+// errSilent says that discovery said nothing, or nothing more, for as long as it is waited for.
+var errSilent = errors.New("discovery is silent")
+
 // Discovery asks for the list of executors.
 type Discovery struct {
 	address   string
@@ -39,8 +43,12 @@
 		d.asked, limit = true, limit+wait
 		target += fmt.Sprintf("?since=%d&timeout_ms=%d", since, wait.Milliseconds())
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	// Danger: a whole list of thousands that takes its time to come is given up, asked for again, and never there.
+	silent := time.AfterFunc(limit, func() { cancel(errSilent) })
+	defer silent.Stop()
+	last := time.Now().Add(max(limit, protocol.Wait))
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return nil, err
@@ -53,7 +61,12 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("discovery answered %s: %w", response.Status, protocol.ErrBusy)
 	}
-	text, err := io.ReadAll(io.LimitReader(response.Body, protocol.MaxList+1))
+	body := &heardOf{response.Body, func() {
+		if whole {
+			silent.Reset(min(protocol.Silence, time.Until(last)))
+		}
+	}}
+	text, err := io.ReadAll(io.LimitReader(body, protocol.MaxList+1))
 	if err != nil {
 		return nil, err
 	}
@@ -62,3 +75,17 @@
 	}
 	return protocol.ReadList(text, d.names)
 }
+
+// heardOf is a body that tells each time something of it has come.
+type heardOf struct {
+	io.Reader
+	heard func()
+}
+
+func (h *heardOf) Read(b []byte) (int, error) {
+	n, err := h.Reader.Read(b)
+	if n > 0 {
+		h.heard()
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/transport/slow_list_test.go
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package transport
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"fernrail/internal/protocol"
+)
+
+// TestSlowListIsTaken: a whole list of thousands that comes in pieces is taken though it takes longer than a silence may last; one
+// that stops on its way is given up a silence later. Danger: it is thrown away and asked for again, and drains are never heard of.
+func TestSlowListIsTaken(t *testing.T) {
+	entries := make([]string, 3200)
+	for i := range entries {
+		entries[i] = fmt.Sprintf(`{"id":"s-%d","addr":"127.0.0.1:7","zone":"a","kind":"m","state":"Ready"}`, i)
+	}
+	list := `{"version":1,"full":true,"servers":[` + strings.Join(entries, ",") + `]}`
+	const pieces = 5
+	for _, come := range []int{pieces, 2} {
+		agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			for i := range come {
+				w.Write([]byte(list[len(list)*i/pieces : len(list)*(i+1)/pieces]))
+				http.NewResponseController(w).Flush()
+				time.Sleep(protocol.Silence * 2 / pieces)
+			}
+			if come < pieces {
+				<-r.Context().Done()
+			}
+		}))
+		d := NewDiscovery(strings.TrimPrefix(agent.URL, "http://"), &protocol.Names{Zones: []string{"a"}, Kinds: []string{"m"}})
+		start := time.Now()
+		l, err := d.Ask(t.Context(), 0, true)
+		switch took := time.Since(start); {
+		case come == pieces && (err != nil || len(l.Entries) != len(entries)):
+			t.Errorf("a list that comes slowly, after %v: %v", took, err)
+		case come < pieces && (!errors.Is(err, errSilent) || took > protocol.Wait):
+			t.Errorf("a list that stops on its way, after %v: %v", took, err)
+		}
+		agent.CloseClientConnections()
+		agent.Close()
+	}
+}
