--- a/internal/rig/processor.go
+++ b/internal/rig/processor.go
@@ -22,7 +22,7 @@
 
 // hold keeps a process to a share of one core until it has ended, by SIGSTOP and SIGCONT: it runs for about a millisecond and then
 // stands still for the rest of its turn, as a process with a small quota does.
-func hold(p *os.Process, share float64, ended <-chan struct{}) {
+func hold(p *os.Process, share float64, stops <-chan time.Duration, ended <-chan struct{}) {
 	credit, stopped := saved, false
 	then, used := time.Now(), processorTime(p.Pid)
 	tick := time.NewTicker(step)
@@ -32,6 +32,10 @@
 		case <-ended:
 			return
 		case <-tick.C:
+		case span := <-stops:
+			p.Signal(syscall.SIGSTOP)
+			time.Sleep(span)
+			stopped = true
 		}
 		now, usedNow := time.Now(), processorTime(p.Pid)
 		credit += time.Duration(share*float64(now.Sub(then))) - (usedNow - used)
@@ -59,6 +63,9 @@
 	return time.Duration(t.Nano())
 }
 
+// Stop has the node's process stand still for a while. The plan holds it to a share of a core.
+func (n *Node) Stop(span time.Duration) { n.stops <- span }
+
 // ProcessorTime is what the node's process has used so far.
 func (n *Node) ProcessorTime() time.Duration {
 	n.mu.Lock()
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -372,6 +372,7 @@
 	gossips             []*Relay                   // to each other node\'s such address
 	Env                 []string                   // for its next start
 	Change              func(fleet map[string]any) // of its own fleet section; nil: none
+	stops               chan time.Duration         // for which its process is to stand still
 	Disk                string                     // its seat's directory; a part of its own unless told
 
 	mu      sync.Mutex
@@ -382,7 +383,7 @@
 }
 
 func (r *Rig) node(i int) *Node {
-	n := &Node{rig: r, Index: i, Name: fmt.Sprint("n", i), Admin: r.free(), dir: r.TempDir()}
+	n := &Node{rig: r, Index: i, Name: fmt.Sprint("n", i), Admin: r.free(), dir: r.TempDir(), stops: make(chan time.Duration, 1)}
 	l := r.listen()
 	defer l.Close()
 	var err error
@@ -517,7 +518,7 @@
 		close(ended)
 	}()
 	if share := n.rig.plan.Cores; share > 0 {
-		go hold(p.Process, share, ended)
+		go hold(p.Process, share, n.stops, ended)
 	}
 	n.process, n.ended, n.out = p, ended, out
 }
