transport: accept goes on after every error but the listener's end

Found while related paths were looked at: net/http ends on errors of accept that it does not call temporary (ENOBUFS, ENETDOWN, EPROTO), and the process ended with it (server.go, Open; main.go returns what comes out of the channel). Change: the listener waits 5 to 100 ms and accepts again, with a line in the log at the rate that warnings have.

--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -103,12 +103,26 @@
 type listener struct {
 	net.Listener
 	descriptors *Descriptors
+	log         zerolog.Logger
 }
 
+// Waits after an accept that failed: the first one, and the longest, which requests that wait at the door can bear.
+const (
+	acceptPause     = 5 * time.Millisecond
+	acceptPauseMost = 100 * time.Millisecond
+)
+
+// Accept waits for a client. It goes on after every error but the listener's own end.
+// Danger: net/http ends on errors that it does not call temporary, such as ENOBUFS, and the process with it.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for pause := acceptPause; err != nil; pause = min(2*pause, acceptPauseMost) {
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
+		l.log.Warn().Err(err).Msg("accept failed, and is tried again")
+		time.Sleep(pause)
+		c, err = l.Listener.Accept()
 	}
 	// Danger: a connection that is left waiting may hold a txn. Only a newcomer makes others give way, so none does
 	// without need; those in spare places are answered and closed at once.
@@ -150,7 +164,7 @@
 	s.phase, s.listener = serving, l
 	s.mu.Unlock()
 	ended := make(chan error, 1)
-	go func() { ended <- s.http.Serve(&listener{l, s.descriptors}) }()
+	go func() { ended <- s.http.Serve(&listener{l, s.descriptors, s.log}) }()
 	return ended
 }
 
