transport: a connection that fails for want of ports or descriptors here is no server's fault

The same look: EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL of a connect counted as failed connections (executors.go, failed), so a moment's shortage on this machine cost every server drawn its reliability. Change: they are this node's own and end as never sent.

--- a/internal/transport/executors.go
+++ b/internal/transport/executors.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"syscall"
 	"time"
 
 	"fernrail/dispatch"
@@ -82,12 +84,26 @@
 	ctx, cancel := context.WithTimeout(ctx, within+min(time.Duration(x.lag()), within))
 	defer cancel()
 	c, err := x.connect(ctx, network, address)
+	if ownFault(err) {
+		return nil, fmt.Errorf("%w: %w", errShort, err)
+	}
 	if late := (net.Error)(nil); errors.As(err, &late) && late.Timeout() && time.Duration(x.lag()) > within {
 		return nil, errBehind
 	}
 	return c, err
 }
 
+// ownFault says whether a connection failed for want of something that this machine is short of.
+// Danger: for a moment without ports or descriptors all executors lose their reliability.
+func ownFault(err error) bool {
+	for _, own := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, own) {
+			return true
+		}
+	}
+	return false
+}
+
 // Behind has the process's lag known; it is called before the node serves.
 func (x *Executors) Behind(lag func() int64) { x.lag = lag }
 
