A client that shuts its sending side gets a final refusal, not a close with no answer

Before, Serve gave nil and the handler was aborted (routing/life.go), so a client that still read got nothing. TestWhoShutsTheirSendingGetsNoResult and TestClientLeaves asked for nothing at all; they ask for exactly one refusal, by effect.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -842,6 +842,9 @@
 	p.then()
 }
 
+// Gone ends a txn whose client has closed, or shut its sending side and may still read: it gets the final answer that the rules allow.
+func (d *Dispatcher) Gone(t *Txn) { d.finish(t, ClientGone) }
+
 // Left ends a txn that is answered, or whose client has gone.
 func (d *Dispatcher) Left(t *Txn) {
 	if t.Over = true; t.forget != nil {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -234,10 +234,11 @@
 	ClientsTime         // an attempt ran until the client's time was over
 	ErrsAnywhere        // it ended in errors at two servers, as such requests do
 	Overloaded          // this process is too far behind
+	ClientGone          // its client has closed, or shut its sending side
 )
 
 func (r Reason) String() string {
-	return [...]string{"", "deadline", "no attempt left", "no hope", "late at a server", "client's time is over", "errs anywhere", "overloaded"}[r]
+	return [...]string{"", "deadline", "no attempt left", "no hope", "late at a server", "client's time is over", "errs anywhere", "overloaded", "client has gone"}[r]
 }
 
 // anchor is the first posting that may have run or still may.
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -172,6 +172,7 @@
 	Status   int
 	ReturnIn time.Duration // advice; 0: none
 	Body     string
+	Gone     bool // its client has closed, or at least shut its sending side: it may not be read
 }
 
 // Write puts the answer on its way.
--- a/internal/routing/life.go
+++ b/internal/routing/life.go
@@ -61,14 +61,15 @@
 	number  int // in the order of arrival
 	request *protocol.Request
 	began   int64                 // by the node's clock, ns
+	gone    bool                  // its client has closed
 	answer  chan *protocol.Answer // holds the one final answer; nil: its client has gone
 }
 
-// Serve is the life of one txn, from the request read whole to its one final answer.
+// Serve is the life of one txn, from the request read whole to its one final answer; nil: the module failed, and none is known.
 func (n *Node) Serve(ctx context.Context, q *protocol.Request) *protocol.Answer {
 	// Danger: a full node that works for clients which closed while their requests waited in the socket.
 	if ctx.Err() != nil || q.Gone() {
-		return nil
+		return &protocol.Answer{Status: http.StatusServiceUnavailable, Gone: true}
 	}
 	if !n.fresh(q.ID) {
 		return &protocol.Answer{Status: http.StatusConflict}
@@ -100,14 +101,25 @@
 		return a
 	case <-ctx.Done():
 		n.log.Debug().Str("id", q.ID).Int64("lag_ms", n.lag.Lag()/1e6).Msg("client has gone")
-		n.event(func() { n.drop(t) })
-		return nil
+		if n.event(func() { n.leaves(t) }) != nil {
+			n.event(func() { n.drop(t) })
+		}
+		return <-l.answer
+	}
+}
+
+// leaves ends a txn whose client has closed. Danger: one that shut its sending side alone still reads, and what was read from it and
+// ends with no answer is lost.
+func (n *Node) leaves(t *dispatch.Txn) {
+	if l := n.lives[t]; l != nil {
+		l.gone = true
+		n.module.Gone(t)
 	}
 }
 
 // unserved tells of a request that ends with no result: why, after how long, with how many attempts, and how far the process is behind.
 func (n *Node) unserved(t *dispatch.Txn, l *life, a *protocol.Answer) {
-	if a != nil && a.Status != http.StatusOK {
+	if a != nil && a.Status != http.StatusOK && !a.Gone {
 		n.log.Debug().Str("id", t.Tag).Int("status", a.Status).Stringer("reason", t.Reason).Int("attempts", len(t.Postings)).
 			Int64("age_ms", (n.clock()-l.began)/1e6).Int64("lag_ms", n.lag.Lag()/1e6).Msg("not served")
 	}
@@ -137,6 +149,7 @@
 // answer gives a txn its final answer, the first one that comes.
 func (n *Node) answer(t *dispatch.Txn, a *protocol.Answer) {
 	if l := n.end(t); l != nil {
+		a.Gone = l.gone
 		l.answer <- a
 	}
 }
@@ -163,7 +176,7 @@
 	}
 	// Danger: word that a client has closed waits behind work at a full node, and its job is begun for nobody.
 	if l.job.Request.Gone() {
-		l.node.event(func() { l.node.drop(l.posting.Txn) })
+		l.node.event(func() { l.node.leaves(l.posting.Txn) })
 		return false
 	}
 	if l.charge != nil && !l.charge.Send() {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -210,14 +210,24 @@
 	})
 }
 
+// TestClientLeaves: nothing is out for a client that has closed. What is written to it, should it still read, promises no more than the
+// rules allow: that its job never ran only where that is harmless or sure.
 func TestClientLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &carrier{script: serves(time.Hour)}
 		n := New(terms(), 1, known("a"), c, time.Second, &lister{}, nil, zerolog.Nop())
-		ctx, leave := context.WithCancel(t.Context())
-		time.AfterFunc(100*time.Millisecond, leave)
-		if a := n.Serve(ctx, ask("j", 0, 5*time.Second)); a != nil {
-			t.Errorf("%+v", a)
+		for scheme, status := range []int{503, 500} {
+			ctx, leave := context.WithCancel(t.Context())
+			time.AfterFunc(100*time.Millisecond, leave)
+			if a := n.Serve(ctx, ask(fmt.Sprint(scheme), scheme, 5*time.Second)); a == nil || !a.Gone || a.Status != status {
+				t.Errorf("%+v", a)
+			}
+			if a := n.Serve(ctx, ask(fmt.Sprint("late", scheme), scheme, 5*time.Second)); a == nil || !a.Gone || a.Status != 503 {
+				t.Errorf("%+v", a)
+			}
+		}
+		if c.sent() != 2 {
+			t.Errorf("%d attempts", c.sent())
 		}
 		synctest.Wait()
 		if len(n.lives)+len(n.out) > 0 {
--- a/internal/transport/gone_test.go
+++ b/internal/transport/gone_test.go
@@ -58,7 +58,7 @@
 			ctx = context.WithoutCancel(ctx)
 		}
 		a := n.Serve(ctx, q)
-		if a == nil {
+		if a == nil || a.Gone {
 			gone <- struct{}{}
 		}
 		return a
@@ -206,16 +206,21 @@
 	}
 }
 
-// TestWhoShutsTheirSendingGetsNoResult: a client that closes its sending side counts as gone; what it still reads is an end, and
-// no answer of the library's own making.
-// Danger: a handler that returns without a word has answered 200, with a result that no executor made.
+// TestWhoShutsTheirSendingGetsNoResult: a client that closes its sending side counts as gone, and no attempt begins for it. It may
+// still read: it gets one final refusal, and then the end.
+// Danger: a request that was read and ends with no answer is lost; and a handler that returns without a word has answered 200, with a
+// result that no executor made.
 func TestWhoShutsTheirSendingGetsNoResult(t *testing.T) {
-	address, _, _, _, gone := whole(t, false)
-	c := call(t, address, job).(*net.TCPConn)
-	c.CloseWrite()
-	within(t, "that the client has gone", gone)
-	if text, err := io.ReadAll(c); len(text) > 0 {
-		t.Errorf("%q, %v", text, err)
+	for state, known := range map[string][]string{"waits": nil, "is read after that": {"127.0.0.1:9"}} {
+		address, _, _, _, gone := whole(t, false, known...)
+		c := call(t, address, "").(*net.TCPConn)
+		io.WriteString(c, job)
+		c.CloseWrite()
+		within(t, "that the client has gone", gone)
+		text, err := io.ReadAll(c)
+		if err != nil || !strings.HasPrefix(string(text), "HTTP/1.1 503 ") || strings.Count(string(text), "HTTP/1.1") != 1 {
+			t.Errorf("%s: %q, %v", state, text, err)
+		}
 	}
 }
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -292,11 +292,13 @@
 	}
 	// What follows chunks has no start that is known here.
 	chunks := r.TransferEncoding != nil
-	if c.spare || s.closing.Load() || answer.Status == http.StatusConflict || chunks {
+	if c.spare || s.closing.Load() || answer.Gone || answer.Status == http.StatusConflict || chunks {
 		w.Header().Set("Connection", "close")
 	}
 	c.head.next(r.ContentLength)
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(reading))
-	status = answer.Status
+	if !answer.Gone {
+		status = answer.Status
+	}
 	answer.Write(w)
 }
