config: SIGHUP takes discovery's address and decodes no server

A related path: Reload decoded the whole list of the file, which nobody looks at then; with 3,200 servers a node with a twentieth of a core stood still for 0.3 s and more at each SIGHUP. A fault in that list no longer refuses a new configuration; at a start it does. TestReloadLooksAtNoServers fails on the text before by that list.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -56,7 +56,10 @@
 )
 
 // Load reads the file that EDGE_CONFIG names. The other EDGE variables, where set, go before the file.
-func Load(env func(string) string) (*Node, error) {
+func Load(env func(string) string) (*Node, error) { return load(env, true) }
+
+// load reads the file; list says whether the servers that it names are wanted.
+func load(env func(string) string, list bool) (*Node, error) {
 	path := env("EDGE_CONFIG")
 	if path == "" {
 		return nil, fmt.Errorf("EDGE_CONFIG: names no file")
@@ -65,7 +68,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
-	return parse(text, env)
+	return decode(text, env, list)
 }
 
 // Reload reads the file again while the node runs. Only discovery's address can change then; left names the keys of
@@ -73,12 +76,12 @@
 // Danger: EDGE_DISCOVERY tells the address of the start. Here the file goes before it, or the old one stays for good. And
 // the descriptor that was inherited has been taken over, so that its number may be another file's by now.
 func (n *Node) Reload(env func(string) string) (now *Node, left []string, err error) {
-	now, err = Load(func(variable string) string {
+	now, err = load(func(variable string) string {
 		if variable == "EDGE_DISCOVERY" || variable == "EDGE_LISTEN_FD" {
 			return ""
 		}
 		return env(variable)
-	})
+	}, false)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -93,14 +96,19 @@
 	return now, left, nil
 }
 
-func parse(text []byte, env func(string) string) (*Node, error) {
+func parse(text []byte, env func(string) string) (*Node, error) { return decode(text, env, true) }
+
+func decode(text []byte, env func(string) string, list bool) (*Node, error) {
 	// Danger: a list of thousands of servers that is decoded three times, at a node that has to serve soon on a small share of a core.
 	var raw map[string]json.RawMessage
 	if err := json.NewDecoder(bytes.NewReader(text)).Decode(&raw); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
 	known := raw["known"]
-	delete(raw, "known")
+	// Danger: SIGHUP at a node with a small share of a core, which stands still for a list that nobody looks at.
+	if delete(raw, "known"); !list {
+		known = nil
+	}
 	tree, flat := map[string]any{}, map[string]string{}
 	for key, part := range raw {
 		decoder := json.NewDecoder(bytes.NewReader(part))
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -197,3 +198,27 @@
 		}
 	}
 }
+
+// TestReloadLooksAtNoServers: a node that reads its file again takes the new place of discovery from it, and decodes no server.
+// Danger: a node with a small share of a core stands still for a list of thousands that nobody looks at.
+func TestReloadLooksAtNoServers(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "c.json")
+	env := func(variable string) string { return map[string]string{"EDGE_CONFIG": path}[variable] }
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(whole)
+	n, err := Load(env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(strings.NewReplacer("127.0.0.2:85", "127.0.0.3:85", `"addr":"10.0.0.1:7"`, `"addr":"nowhere"`).Replace(whole))
+	if now, left, err := n.Reload(env); err != nil || len(left) > 0 || now.Discovery != "127.0.0.3:85" || len(now.Known.Entries) > 0 {
+		t.Errorf("%v, %v, %+v", err, left, now)
+	}
+	if _, err := Load(env); err == nil {
+		t.Error("a start took a server with no address")
+	}
+}
