--- a/internal/rig/processor.go
+++ b/internal/rig/processor.go
@@ -13,17 +13,17 @@
 const (
 	// step is between two looks at a process that is held to a share of a core.
 	step = time.Millisecond
-	// saved is the processor time that a process may use at once after it rested.
-	saved = time.Millisecond
-	// owed bounds what a process pays back by standing still. Danger: on a busy machine this process looks late, and what the other
+	// creditMost is the processor time that a process may use at once after it rested.
+	creditMost = time.Millisecond
+	// debtMost bounds what a process pays back by standing still. Danger: on a busy machine this process looks late, and what the other
 	// one used meanwhile would stop it for longer than the share alone ever does.
-	owed = 2 * time.Millisecond
+	debtMost = 2 * time.Millisecond
 )
 
 // hold keeps a process to a share of one core until it has ended, by SIGSTOP and SIGCONT: it runs for about a millisecond and then
 // stands still for the rest of its turn, as a process with a small quota does.
 func hold(p *os.Process, share float64, stops <-chan time.Duration, ended <-chan struct{}) {
-	credit, stopped := saved, false
+	credit, stopped := creditMost, false
 	then, used := time.Now(), processorTime(p.Pid)
 	tick := time.NewTicker(step)
 	defer tick.Stop()
@@ -39,7 +39,7 @@
 		}
 		now, usedNow := time.Now(), processorTime(p.Pid)
 		credit += time.Duration(share*float64(now.Sub(then))) - (usedNow - used)
-		credit = max(min(credit, saved), -owed)
+		credit = max(min(credit, creditMost), -debtMost)
 		then, used = now, usedNow
 		if stop := credit < 0; stop != stopped {
 			stopped = stop
--- a/internal/routing/life.go
+++ b/internal/routing/life.go
@@ -101,16 +101,16 @@
 		return a
 	case <-ctx.Done():
 		n.log.Debug().Str("id", q.ID).Int64("lag_ms", n.lag.Lag()/1e6).Msg("client has gone")
-		if n.event(func() { n.leaves(t) }) != nil {
+		if n.event(func() { n.clientGone(t) }) != nil {
 			n.event(func() { n.drop(t) })
 		}
 		return <-l.answer
 	}
 }
 
-// leaves ends a txn whose client has closed. Danger: one that shut its sending side alone still reads, and what was read from it and
+// clientGone ends a txn whose client has closed. Danger: one that shut its sending side alone still reads, and what was read from it and
 // ends with no answer is lost.
-func (n *Node) leaves(t *dispatch.Txn) {
+func (n *Node) clientGone(t *dispatch.Txn) {
 	if l := n.lives[t]; l != nil {
 		l.gone = true
 		n.module.Gone(t)
@@ -176,7 +176,7 @@
 	}
 	// Danger: word that a client has closed waits behind work at a full node, and its job is begun for nobody.
 	if l.job.Request.Gone() {
-		l.node.event(func() { l.node.leaves(l.posting.Txn) })
+		l.node.event(func() { l.node.clientGone(l.posting.Txn) })
 		return false
 	}
 	if l.charge != nil && !l.charge.Send() {
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -61,7 +61,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("discovery answered %s: %w", response.Status, protocol.ErrBusy)
 	}
-	body := &heardOf{response.Body, func() {
+	body := &progressReader{response.Body, func() {
 		if whole {
 			silent.Reset(min(protocol.Silence, time.Until(last)))
 		}
@@ -76,16 +76,16 @@
 	return protocol.ReadList(text, d.names)
 }
 
-// heardOf is a body that tells each time something of it has come.
-type heardOf struct {
+// progressReader tells each time something has been read.
+type progressReader struct {
 	io.Reader
-	heard func()
+	progress func()
 }
 
-func (h *heardOf) Read(b []byte) (int, error) {
-	n, err := h.Reader.Read(b)
+func (r *progressReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
 	if n > 0 {
-		h.heard()
+		r.progress()
 	}
 	return n, err
 }
