--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -28,7 +28,6 @@
 	loss      float64
 	bursts    []*Fault // that are on
 	spoilt    float64  // share of txns that err wherever they go
-	epoch     int64    // of the clock that nodes see; one that starts at nothing would make everyone start long ago
 	out       func(judge.Event)
 	granter   *granter
 	pact      budget.Pact
