transport: requests that wait unread are not driven out by new connections

Change: one that has its answer, sent nothing or half a head goes; others only where no place is left. TestUnreadRequestsDoNotGiveWay was seen to fail without the look at the socket; transport's tests pass with -race.

--- a/internal/transport/descriptors.go
+++ b/internal/transport/descriptors.go
@@ -46,6 +46,10 @@
 	// young is how long a stranger is left alone while there are places: a node short of its core takes many connections
 	// before it reads the requests that wait on them.
 	young = 100 * time.Millisecond
+	// strangersLooked is how many strangers are looked at for one that can go; each costs a system call.
+	strangersLooked = 32
+	// evictions is how many strangers a new one may drive out.
+	evictions = 8
 	// ahead is how many bytes behind its request are kept of a client while that is at work: a whole next request. What
 	// comes beyond that is thrown away, since the client's close is behind it, and the connection ends with the answer.
 	ahead = protocol.MaxBody + 32<<10
@@ -120,9 +124,16 @@
 func (d *Descriptors) take(of side) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if of == clients && d.strangers.Len() >= d.strange &&
-		(d.left(of) <= 0 || time.Since(d.strangers.Front().Value.(*conn).came) >= d.young) {
-		d.end(&d.strangers)
+	// Those that came before had not been read when the next ones came; so more than one may have to go.
+	for range evictions {
+		if of != clients || d.strangers.Len() < d.strange {
+			break
+		}
+		c := d.needless()
+		if c == nil || d.left(of) > 0 && time.Since(c.came) < d.young {
+			break
+		}
+		d.evict(c)
 	}
 	if d.left(of) <= 0 {
 		switch {
@@ -133,7 +144,11 @@
 				d.yield()
 			}
 		case of == clients || d.held[of] < d.most[of]:
-			d.end(&d.strangers)
+			if c := d.needless(); c != nil {
+				d.evict(c)
+			} else {
+				d.end(&d.strangers)
+			}
 		}
 	}
 	if d.left(of) <= 0 {
@@ -174,21 +189,39 @@
 	return !c.closed && !d.ended
 }
 
+// needless is the longest waiting stranger that can go: it has its answer, has sent nothing, or half a head at the most; nil: there is
+// none among those that are looked at. Under mu.
+// Danger: at a process that is behind, whole requests lie unread in the sockets of strangers, and end with no answer.
+func (d *Descriptors) needless() *conn {
+	e := d.strangers.Front()
+	for looked := 0; e != nil && looked < strangersLooked; looked++ {
+		if c := e.Value.(*conn); c.came.IsZero() || !(c.working && c.head.whole()) && !c.unread() {
+			return c
+		}
+		e = e.Next()
+	}
+	return nil
+}
+
 // end closes the first connection of a list, if there is one, to make room. Under mu.
 func (d *Descriptors) end(of *list.List) {
 	if first := of.Front(); first != nil {
-		c := first.Value.(*conn)
-		c.put(nil)
-		c.yielded, c.lingered = c.of == executors, true
-		held := d.held
-		d.mu.Unlock()
-		d.log.Debug().Stringer("side", c.of).Str("executor", c.address).Int("clients", held[clients]).Int("executors", held[executors]).
-			Int("most", d.total).Msg("connection closed to make room")
-		c.Close()
-		d.mu.Lock()
+		d.evict(first.Value.(*conn))
 	}
 }
 
+// evict closes a connection to make room. Under mu.
+func (d *Descriptors) evict(c *conn) {
+	c.put(nil)
+	c.yielded, c.lingered = c.of == executors, true
+	held := d.held
+	d.mu.Unlock()
+	d.log.Debug().Stringer("side", c.of).Str("executor", c.address).Int("clients", held[clients]).Int("executors", held[executors]).
+		Int("most", d.total).Msg("connection closed to make room")
+	c.Close()
+	d.mu.Lock()
+}
+
 // yield has the longest idle of the clients' connections closed, if there is one. Under mu.
 func (d *Descriptors) yield() {
 	if first := d.idle[clients].Front(); first != nil {
@@ -578,6 +611,17 @@
 	return nil, errNoSocket
 }
 
+// unread says whether bytes lie in the socket that nobody has read.
+func (c *conn) unread() (is bool) {
+	if raw, err := raw(c.Conn); err == nil {
+		raw.Control(func(fd uintptr) {
+			n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			is = err == nil && n > 0
+		})
+	}
+	return is
+}
+
 func (c *conn) waked() bool {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -481,6 +481,44 @@
 	}
 }
 
+// TestUnreadRequestsDoNotGiveWay: new connections come to a process that has not read what lies in the sockets of older ones. One that
+// has sent nothing gives way, and none whose request waits there while there are places.
+// Danger: at a process that is behind these are the longest waiting, and were closed with no answer.
+func TestUnreadRequestsDoNotGiveWay(t *testing.T) {
+	d := NewDescriptors(64)
+	d.young = 0
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var all []*conn
+	come := func(text string) *conn {
+		call(t, l.Addr().String(), text)
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		fresh := d.greet(c)
+		t.Cleanup(func() { fresh.Close() })
+		all = append(all, fresh)
+		until(t, "its bytes", func() bool { return text == "" || fresh.unread() })
+		return fresh
+	}
+	for range d.strange - 1 {
+		come(ask + "b")
+	}
+	silent := come("")
+	for range 4 {
+		come(ask + "b")
+	}
+	for i, c := range all {
+		if c.closed != (c == silent) {
+			t.Errorf("connection %d of %d: closed is %v", i, len(all), c.closed)
+		}
+	}
+}
+
 // TestYoungStrangersAreServed: clients that all come at once are not taken for such as say nothing.
 func TestYoungStrangersAreServed(t *testing.T) {
 	d := NewDescriptors(64)
