--- a/review/lab/node.go
+++ b/review/lab/node.go
@@ -7,12 +7,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -40,6 +42,12 @@
 // StartNode writes the configuration into dir and starts the run command of the deploy file, which the
 // environment variable NODE_RUN holds, with it. The kernel kills the process when this one ends.
 func StartNode(dir string, configuration Object) (*Node, error) {
+	return StartNodeWith(dir, configuration, nil, nil)
+}
+
+// StartNodeWith is like StartNode, with further environment variables, and with files that the process
+// inherits as descriptors from 3 on.
+func StartNodeWith(dir string, configuration Object, env []string, files []*os.File) (*Node, error) {
 	text, err := json.MarshalIndent(configuration, "", " ")
 	if err != nil {
 		return nil, err
@@ -48,7 +56,8 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(dir, "node.log"))
+	logPath := filepath.Join(dir, "node.log")
+	log, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
@@ -62,6 +71,8 @@
 		exited:  make(chan struct{}),
 	}
 	n.command.Env = append(os.Environ(), "EDGE_CONFIG="+path, "EDGE_LOG=trace", "TMPDIR="+dir)
+	n.command.Env = append(n.command.Env, env...)
+	n.command.ExtraFiles = files
 	n.command.Stdout, n.command.Stderr = log, log
 	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started := make(chan error)
@@ -94,6 +105,9 @@
 // Signal sends a signal to the node.
 func (n *Node) Signal(s syscall.Signal) error { return n.command.Process.Signal(s) }
 
+// Pid returns the process id of the node.
+func (n *Node) Pid() int { return n.command.Process.Pid }
+
 // Running reports whether the node has not exited.
 func (n *Node) Running() bool {
 	select {
@@ -104,6 +118,42 @@
 	}
 }
 
+// WaitExit waits until the node has exited, and reports whether it has within a limit.
+func (n *Node) WaitExit(limit time.Duration) bool {
+	select {
+	case <-n.exited:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// WaitYes waits until the node answers readyz at its address for operators with yes.
+func WaitYes(admin string, limit time.Duration) error {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		answer, err := Call(admin, "readyz")
+		if err == nil && strings.HasPrefix(answer, "OK") {
+			return nil
+		}
+	}
+	return fmt.Errorf("no yes from %s after %v", admin, limit)
+}
+
+// Call makes one call of an operator.
+func Call(admin, line string) (answer string, err error) {
+	c, err := net.DialTimeout("tcp", admin, time.Second)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(2 * time.Second))
+	if _, err := fmt.Fprintln(c, line); err != nil {
+		return "", err
+	}
+	text, err := io.ReadAll(c)
+	return string(text), err
+}
+
 // Kill ends the node and waits until it has exited.
 func (n *Node) Kill() {
 	_ = n.command.Process.Kill()
