--- a/review/lab/settings.go
+++ b/review/lab/settings.go
@@ -6,20 +6,36 @@
 
 import "time"
 
-// Settings returns the settings of a small deployment: the class status may run again, the class book must
-// never run twice.
-func Settings() Object {
+// Class returns the settings of one class.
+func Class(name, idempotency string, objective, deadline time.Duration) Object {
+	return Object{
+		"Name":             name,
+		"Idempotency":      idempotency,
+		"SlaTime":          int64(objective),
+		"Expiry":           int64(deadline),
+		"BillingValue":     2.0,
+		"LateBillingValue": 0.3,
+	}
+}
+
+// Settings returns the settings of a small deployment with the given zones and classes. Where a case does not
+// change them, the figures are those of bilbao-puerto.
+func Settings(zones []string, classes ...Object) Object {
+	var stretch []float64
+	for range classes {
+		stretch = append(stretch, 2)
+	}
 	return Object{
 		"Tick":              int64(5 * time.Millisecond),
 		"ReplicasOfMe":      1,
 		"Me":                0,
 		"MyZone":            0,
-		"Dcs":               []string{"burgas", "yambol"},
+		"Dcs":               zones,
 		"Skus":              []string{"std"},
 		"Discovery":         "automatic",
 		"BillingValueBasis": "request",
 		"Extra": Object{
-			"ClassStretch": []float64{2.5, 2},
+			"ClassStretch": stretch,
 			"Progress":     int64(time.Second),
 			"TellsStart":   true,
 		},
@@ -41,12 +57,7 @@
 			"FallMultiple": 2.5,
 			"DrainGrace":   int64(2 * time.Second),
 		},
-		"Schemes": []Object{
-			{"Name": "status", "SlaTime": int64(300 * time.Millisecond), "Expiry": int64(5 * time.Second),
-				"BillingValue": 1.0, "LateBillingValue": 0.3, "Idempotency": "idempotent"},
-			{"Name": "book", "SlaTime": int64(300 * time.Millisecond), "Expiry": int64(5 * time.Second),
-				"BillingValue": 5.0, "LateBillingValue": 0.3, "Idempotency": "at_most_once"},
-		},
+		"Schemes": classes,
 		"Tenants": []Object{{"Name": "norte", "Share": 0.6}, {"Name": "laredo", "Share": 0.4}},
 	}
 }
