--- a/review/lab/settings.go
+++ b/review/lab/settings.go
@@ -63,9 +63,9 @@
 }
 
 // Configuration returns the configuration of one node with these settings.
-func Configuration(listen, discovery string, known, settings Object) Object {
+func Configuration(name, listen, discovery string, known, settings Object) Object {
 	return Object{
-		"name":      "n0",
+		"name":      name,
 		"listen":    listen,
 		"discovery": discovery,
 		"seed":      "8c1f30d27a5be964",
