--- /dev/null
+++ b/review/lab2/main.go
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: Apache-2.0
+
+//go:build review2
+
+// Command lab2 plays the cases of the second review against real processes of the project. It exits with 1
+// if the rule was broken, 0 if it held, and 2 if the case could not run.
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// maxDuration ends a case that has not ended by itself.
+const maxDuration = 115 * time.Second
+
+// errBroken wraps what breaks the rule of a case.
+var errBroken = errors.New("rule broken")
+
+// cases are the cases by name: the deploy file that they use and what they play.
+var cases = map[string]struct {
+	deploy string
+	play   func(p *platform) error
+}{
+	"blind":   {"deploy/balancer.toml", playBlind},
+	"crowd":   {"deploy/fleet.toml", playCrowd},
+	"smuggle": {"deploy/balancer.toml", playSmuggle},
+	"spoilt":  {"deploy/balancer.toml", playSpoilt},
+	"upgrade": {"deploy/fleet.toml", playUpgrade},
+	"window":  {"deploy/balancer.toml", playWindow},
+}
+
+func main() {
+	name := flag.String("case", "", "name of the case")
+	dir := flag.String("dir", "", "folder of the case, for record.txt")
+	flag.Parse()
+	os.Exit(run(*name, *dir))
+}
+
+// run plays a case and returns the exit code.
+func run(name, dir string) int {
+	selected, found := cases[name]
+	if !found {
+		fmt.Fprintf(os.Stderr, "no such case: %q\n", name)
+		return 2
+	}
+	root, err := os.Getwd()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	rec, err := newRecord(filepath.Join(dir, "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	p, err := newPlatform(rec, root, selected.deploy, os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	rec.add("case %s, trouble: %t", name, p.trouble)
+	defer p.end()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	result := make(chan error, 1)
+	go func() { result <- selected.play(p) }()
+	select {
+	case err = <-result:
+	case <-stopped:
+		err = fmt.Errorf("%w: stopped by a signal", errSetup)
+	case <-time.After(maxDuration):
+		err = fmt.Errorf("%w: it took longer than %v", errSetup, maxDuration)
+	}
+	return exitCode(rec, err)
+}
+
+// exitCode records the verdict and returns the exit code.
+func exitCode(rec *record, err error) int {
+	verdict, code := "the rule held", 0
+	switch {
+	case errors.Is(err, errBroken):
+		verdict, code = err.Error(), 1
+	case err != nil:
+		verdict, code = err.Error(), 2
+	}
+	rec.add("verdict: %s (exit %d)", verdict, code)
+	fmt.Println(verdict)
+	return code
+}
