Review: make the case folders build with review/build.sh

review/build.sh builds every numbered folder as a Go package, and review/4 to 6 had no Go file, so it failed at the first of them. Each case now has a main of its own on lab2, under the first review's build tag; the first review's files are as they were.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,11 @@
 #!/bin/bash
 # SPDX-License-Identifier: Apache-2.0
-# Builds the stand-ins of the second review's cases, after the build of the deploy file. It needs no network:
-# they use the standard library alone.
+# Builds the cases of the second review with their stand-ins, after the build of the deploy file, and the program
+# that plays its trials. It needs no network: they use the standard library alone.
 set -eu
 cd "$(dirname "$0")/.."
-go build -tags review2 -o review/bin/lab2 ./review/lab2
+mkdir -p review/bin
+for n in 4 5 6; do
+	go build -tags review -o "review/bin/case$n" "./review/$n"
+done
+go build -tags review -o review/bin/trial ./review/lab2/trial
--- a/review/lab2/blind.go
+++ b/review/lab2/blind.go
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
-//go:build review2
+//go:build review
 
-package main
+package lab2
 
 import (
 	"errors"
--- a/review/lab2/main.go
+++ b/review/lab2/lab2.go
@@ -1,14 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
 
-//go:build review2
+//go:build review
 
-// Command lab2 plays the cases of the second review against real processes of the project. It exits with 1
-// if the rule was broken, 0 if it held, and 2 if the case could not run.
-package main
+// Package lab2 has the stand-ins and the cases of the second review. A case plays real processes of the project.
+package lab2
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"os/signal"
@@ -23,8 +21,8 @@
 // errBroken wraps what breaks the rule of a case.
 var errBroken = errors.New("rule broken")
 
-// cases are the cases by name: the deploy file that they use and what they play. The first three stand in
-// review/4 to 6; blind and gone are trials that the report names.
+// cases are the cases by name: the deploy file that they use and what they play. The first three are played by
+// review/4 to 6, blind and gone by the trial program; the report names them.
 var cases = map[string]struct {
 	deploy string
 	play   func(p *platform) error
@@ -36,12 +34,9 @@
 	"gone":     {"deploy/balancer.toml", playGone},
 }
 
-func main() {
-	name := flag.String("case", "", "name of the case")
-	dir := flag.String("dir", "", "folder of the case, for record.txt")
-	flag.Parse()
-	os.Exit(run(*name, *dir))
-}
+// Main plays a case and ends the process: with 1 if the rule was broken, 0 if it held, and 2 if the case could
+// not run. It runs in the root of the repository and writes record.txt into the given folder.
+func Main(name, dir string) { os.Exit(run(name, dir)) }
 
 // run plays a case and returns the exit code.
 func run(name, dir string) int {
