Check a repeat's window and group again at its first byte

Cause: mayRepeat and inDedupGroup were asked when an attempt is decided. The first byte leaves once a connection is up, later by as much as the dial's time-out, and MaySend looked at neither. It also used the clock of the module's last event.

Change: MaySend asks both again without the attempt that is to be sent, and the gate sets the clock before.

Tests, on the old decision code with only the new field added: TestRepeatIsNotSentAfterWindow: dial of 370ms: repeat sent true, status 200 after 1.87s; want false, 500 TestLateConnectionsKeepRule2: request 2 arrived again after 2.082114753s in cell 2; want at most 2s without the 0.15 s: request 29 arrived again after 2.073374393s; without the clock the first one fails.

--- a/dispatch/assignment.go
+++ b/dispatch/assignment.go
@@ -11,7 +11,7 @@
 	if request.Done || request.activeAttempts > 0 {
 		return
 	}
-	if len(request.Attempts) >= d.settings.MaxAttempts || !d.mayRepeat(request) {
+	if len(request.Attempts) >= d.settings.MaxAttempts || !d.mayRepeat(request, nil) {
 		d.giveUp(request, AttemptsExhausted)
 		return
 	}
@@ -59,9 +59,14 @@
 	d.superviseAttempt(attempt)
 }
 
-// MaySend reports whether an attempt may still be sent, and is called at its first byte. The endpoint list
-// may have changed while the attempt waited.
+// MaySend reports whether an attempt may still be sent. The caller sets the clock and calls it immediately before
+// the first byte, which may be much later than the decision: the attempt waits for a connection meanwhile. By
+// then the endpoint list may have changed, and the group of servers may no longer remember the idempotency key
+// of a request that may have run before.
 func (d *Dispatcher) MaySend(attempt *Attempt) bool {
-	return attempt.Server.State == Up && !attempt.Request.Done && !attempt.canceled &&
-		!d.endpointsMayBeStale()
+	request, server := attempt.Request, attempt.Server
+	if request.Done || attempt.canceled || server.State != Up || d.endpointsMayBeStale() {
+		return false
+	}
+	return d.mayRepeat(request, attempt) && request.inDedupGroup(server, attempt)
 }
--- a/dispatch/hedging.go
+++ b/dispatch/hedging.go
@@ -26,7 +26,7 @@
 // unreliable, or if it is late while the endpoint list reports which servers have capacity.
 func (d *Dispatcher) shouldCancel(attempt *Attempt) bool {
 	request := attempt.Request
-	if len(request.Attempts) >= d.settings.MaxAttempts || !d.mayRepeat(request) {
+	if len(request.Attempts) >= d.settings.MaxAttempts || !d.mayRepeat(request, nil) {
 		return false
 	}
 	late := d.settings.LiveCapacity && d.now-attempt.sentAt >= d.slack(request, attempt.sentAt)/slackDivisor
--- a/dispatch/idempotency.go
+++ b/dispatch/idempotency.go
@@ -4,9 +4,12 @@
 
 import "slices"
 
-// firstPossibleRun returns the first attempt that may have run or may still run; nil if there is none.
-func (r *Request) firstPossibleRun() *Attempt {
-	i := slices.IndexFunc(r.Attempts, func(attempt *Attempt) bool { return !attempt.provedNotRun })
+// firstPossibleRun returns the first attempt, other than the given one, that may have run or may still run. It
+// returns nil if there is none.
+func (r *Request) firstPossibleRun(except *Attempt) *Attempt {
+	i := slices.IndexFunc(r.Attempts, func(attempt *Attempt) bool {
+		return attempt != except && !attempt.provedNotRun
+	})
 	if i < 0 {
 		return nil
 	}
@@ -16,7 +19,7 @@
 // mayBeSentAgain reports whether a client may send the request again without the risk of a second effect,
 // whichever server receives it.
 func (r *Request) mayBeSentAgain() bool {
-	if r.firstPossibleRun() == nil {
+	if r.firstPossibleRun(nil) == nil {
 		return true
 	}
 	class := r.Class
@@ -24,11 +27,12 @@
 		class.Idempotency == IdempotentInGroup && class.DedupScope == DedupAll
 }
 
-// mayRepeat reports whether a request may be sent once more to a suitable server. If it may have run before,
-// it must not be sent again when that could have a second effect: a non-idempotent request never, and a
-// request whose group of servers remembers the idempotency key only while the group still remembers it.
-func (d *Dispatcher) mayRepeat(request *Request) bool {
-	first := request.firstPossibleRun()
+// mayRepeat reports whether a request may be sent now to a suitable server, by a new attempt (nil) or by one
+// that has not been sent yet. If another attempt may have run, it must not be sent when that could have a
+// second effect: a non-idempotent request never, and a request whose group of servers remembers the idempotency
+// key only while the group still remembers it when the request arrives.
+func (d *Dispatcher) mayRepeat(request *Request, unsent *Attempt) bool {
+	first := request.firstPossibleRun(unsent)
 	if first == nil {
 		return true
 	}
@@ -36,16 +40,16 @@
 	case NonIdempotent:
 		return false
 	case IdempotentInGroup:
-		return d.now-first.sentAt < request.Class.DedupWindow-d.settings.Tick
+		return d.now-first.sentAt < request.Class.DedupWindow-d.settings.Tick-d.settings.MaxSendDelay
 	default:
 		return true
 	}
 }
 
-// inDedupGroup reports whether a server is in the group that remembers the idempotency key of a request that
-// may have run before.
-func (r *Request) inDedupGroup(server *Server) bool {
-	first := r.firstPossibleRun()
+// inDedupGroup reports whether a server is in the group that remembers the idempotency key of a request, if an
+// attempt other than the given unsent one may have run.
+func (r *Request) inDedupGroup(server *Server, unsent *Attempt) bool {
+	first := r.firstPossibleRun(unsent)
 	if first == nil || r.Class.Idempotency != IdempotentInGroup {
 		return true
 	}
@@ -75,7 +79,7 @@
 			return false
 		}
 	}
-	if len(request.Attempts) > 0 && (!d.mayRepeat(request) || !request.inDedupGroup(server)) {
+	if !d.mayRepeat(request, nil) || !request.inDedupGroup(server, nil) {
 		return false
 	}
 	return d.settings.withinQuotas(request, server) && d.withinSlowStartBudget(request, server)
--- a/internal/routing/send_gate.go
+++ b/internal/routing/send_gate.go
@@ -14,9 +14,9 @@
 // sendGate implements protocol.SendGate: it admits the first byte of an attempt.
 //
 // Between the decision for an attempt and its first byte, the attempt may wait for a connection, the
-// processor or a file descriptor. By then its server may be draining or removed, or its request may
-// have its response. As no byte has been sent, the job has certainly not run and the attempt can be
-// dropped.
+// processor or a file descriptor. By then its server may be draining or removed, its request may have
+// its response, or the servers may have forgotten an earlier attempt of the request. As no byte has been
+// sent, the job has certainly not run and the attempt can be dropped.
 type sendGate struct {
 	router      *Router
 	attempt     *dispatch.Attempt
@@ -49,6 +49,7 @@
 func (g *sendGate) moduleAllows() bool {
 	g.router.mu.Lock()
 	defer g.router.mu.Unlock()
+	g.router.module.Advance(g.router.clock())
 	g.router.module.SetSchedulingDelay(g.router.delay.Delay())
 	return g.router.module.MaySend(g.attempt) && g.router.address(g.attempt.Server) == g.outgoing.Address
 }
