Dedup group: the one in which a request was sent, not the server's current one

What could come: the endpoint list moves a server to another cell or zone. A retry of a request that it may have run was then sent to the new cell, which doesn't know its idempotency key; and an attempt that waited for its connection meanwhile was written to a cell other than the one it was decided for.

Cause: inDedupGroup compared with the current cell of the first attempt's server (first.Server.cell), and MaySend did not look at cells.

Change: an attempt keeps the zone and cell of its server at the decision. Repeats are compared with these, and MaySend denies an attempt whose server was moved since.

TestDrawFindsSmallDedupGroup builds its attempt by hand and names the group.

--- a/dispatch/assignment.go
+++ b/dispatch/assignment.go
@@ -43,7 +43,8 @@
 // startAttempt sends a request to a server.
 func (d *Dispatcher) startAttempt(request *Request, server *Server) {
 	attempt := &Attempt{
-		Request: request, Server: server, Number: len(request.Attempts), InFlight: true, sentAt: d.now}
+		Request: request, Server: server, Number: len(request.Attempts), InFlight: true, group: server.dedupGroup(),
+		sentAt: d.now}
 	request.Attempts = append(request.Attempts, attempt)
 	request.activeAttempts++
 	request.keyState.slotsInFlight += request.Slots
@@ -68,5 +69,6 @@
 	if request.Done || attempt.canceled || server.State != Up || d.endpointsMayBeStale() {
 		return false
 	}
-	return d.mayRepeat(request, attempt) && request.inDedupGroup(server, attempt)
+	return server.dedupGroup() == attempt.group && d.mayRepeat(request, attempt) &&
+		request.inDedupGroup(server, attempt)
 }
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -46,6 +46,7 @@
 	SlowStartShare float64 // share of the server's slow start budget that it uses; 0: the server is warm
 	FreeSlots      float64 // reported by the server with the outcome; 0: none free, or not reported
 
+	group           dedupGroup // of the server at the decision
 	sentAt          int64
 	startedAt       int64 // 0: not reported
 	progressAt      int64 // time of the latest progress report; 0: none
--- a/dispatch/candidates_test.go
+++ b/dispatch/candidates_test.go
@@ -88,7 +88,8 @@
 	request := &Request{Class: settings.Classes[1], Slots: 1, ExpectedWork: 1e7, Deadline: 1e12 + 3e9}
 	d.Arrive(request)
 	home := d.servers.all[1001]
-	request.Attempts = append(request.Attempts, &Attempt{Request: request, Server: home, sentAt: d.now})
+	request.Attempts = append(request.Attempts, &Attempt{
+		Request: request, Server: home, group: home.dedupGroup(), sentAt: d.now})
 	for range 20 {
 		if drawn := d.draw(request, 1); len(drawn) != 1 || drawn[0].cell != home.cell {
 			t.Fatalf("draw returned %d servers, want 1 of the deduplication group", len(drawn))
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -26,6 +26,7 @@
 	finalAnswers  map[*Request]int
 	mayRun        map[*Attempt]bool // no outcome proves that it did not run
 	sentAt        map[*Attempt]int64
+	sentTo        map[*Attempt]dedupGroup // as listed at that time
 	canceled      int
 	notified      []float64
 	probes        []*Server // without an answer yet
@@ -63,7 +64,8 @@
 func newHarness(t *testing.T, seed uint64, settings *Settings) *harness {
 	w := &harness{T: t, Rand: rand.New(rand.NewPCG(seed, 1)), settings: settings, now: 1e12,
 		finalAnswers: map[*Request]int{},
-		mayRun:       map[*Attempt]bool{}, sentAt: map[*Attempt]int64{}, unavailable: map[*Server]bool{},
+		mayRun:       map[*Attempt]bool{}, sentAt: map[*Attempt]int64{}, sentTo: map[*Attempt]dedupGroup{},
+		unavailable:   map[*Server]bool{},
 		slowStartWork: map[*Server][]timedAmount{}}
 	w.d = New(settings, seed, w, w.now)
 	return w
@@ -120,12 +122,12 @@
 	}
 	if class := request.Class; first != nil && class.Idempotency != Idempotent {
 		if class.Idempotency == NonIdempotent || w.now-w.sentAt[first] > class.DedupWindow ||
-			class.DedupScope == DedupCell && attempt.Server.cell != first.Server.cell ||
-			class.DedupScope == DedupZone && attempt.Server.zone != first.Server.zone {
+			class.DedupScope == DedupCell && attempt.Server.cell != w.sentTo[first].cell ||
+			class.DedupScope == DedupZone && attempt.Server.zone != w.sentTo[first].zone {
 			w.Fatalf("rule 2: request of class %d sent again although it may run twice", class.Index)
 		}
 	}
-	w.mayRun[attempt], w.sentAt[attempt] = true, w.now
+	w.mayRun[attempt], w.sentAt[attempt], w.sentTo[attempt] = true, w.now, attempt.Server.dedupGroup()
 	w.inFlight = append(w.inFlight, attempt)
 	w.checkSlowStart(attempt)
 }
--- a/dispatch/idempotency.go
+++ b/dispatch/idempotency.go
@@ -46,6 +46,12 @@
 	}
 }
 
+// dedupGroup identifies the groups of servers that remember the idempotency keys of the requests sent to a server.
+// The endpoint list may move the server to other groups, which do not know these keys.
+type dedupGroup struct{ zone, cell int }
+
+func (s *Server) dedupGroup() dedupGroup { return dedupGroup{zone: s.zone, cell: s.cell} }
+
 // inDedupGroup reports whether a server is in the group that remembers the idempotency key of a request, if an
 // attempt other than the given unsent one may have run.
 func (r *Request) inDedupGroup(server *Server, unsent *Attempt) bool {
@@ -55,9 +61,9 @@
 	}
 	switch r.Class.DedupScope {
 	case DedupZone:
-		return server.zone == first.Server.zone
+		return server.zone == first.group.zone
 	case DedupCell:
-		return server.cell == first.Server.cell
+		return server.cell == first.group.cell
 	default:
 		return true
 	}
--- a/internal/routing/late_repeat_test.go
+++ b/internal/routing/late_repeat_test.go
@@ -208,36 +208,42 @@
 // and that no other attempt is in flight. Each client must get its answer in time.
 func TestLateConnectionsKeepRule2(t *testing.T) {
 	for seed := range uint64(20) {
-		synctest.Test(t, func(t *testing.T) {
-			settings := dedupSettings()
-			settings.AllowHedging = seed%2 == 0
-			settings.AllowCancel = seed%4 < 2
-			servers := &lateServers{
-				T:        t,
-				settings: settings,
-				random:   rand.New(rand.NewPCG(seed, 5)),
-				jobs:     map[string]*jobRecord{},
-			}
-			router := newDedupRouter(settings, seed, &fakeForwarder{script: servers.run})
-			var clients sync.WaitGroup
-			for i := range 100 {
-				class := i % len(settings.Classes)
-				timeout := 2*time.Second + servers.duration(5*time.Second)
-				clients.Go(func() {
-					start := time.Now()
-					router.Serve(t.Context(), testRequest(fmt.Sprint(i), class, timeout))
-					if took := time.Since(start); took > timeout {
-						t.Errorf("seed %d: request %d got its answer after %v, want at most %v", seed, i, took, timeout)
-					}
-				})
-				time.Sleep(servers.duration(300 * time.Millisecond))
-			}
-			clients.Wait()
-			time.Sleep(10 * time.Second)
-			synctest.Wait()
-			if servers.repeats < 10 {
-				t.Errorf("seed %d: got %d repeats, want at least 10", seed, servers.repeats)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkLateConnections(t, seed) })
+		})
+	}
+}
+
+// checkLateConnections plays one random history.
+func checkLateConnections(t *testing.T, seed uint64) {
+	t.Helper()
+	settings := dedupSettings()
+	settings.AllowHedging = seed%2 == 0
+	settings.AllowCancel = seed%4 < 2
+	servers := &lateServers{
+		T:        t,
+		settings: settings,
+		random:   rand.New(rand.NewPCG(seed, 5)),
+		jobs:     map[string]*jobRecord{},
+	}
+	router := newDedupRouter(settings, seed, &fakeForwarder{script: servers.run})
+	var clients sync.WaitGroup
+	for i := range 100 {
+		class := i % len(settings.Classes)
+		timeout := 2*time.Second + servers.duration(5*time.Second)
+		clients.Go(func() {
+			start := time.Now()
+			router.Serve(t.Context(), testRequest(fmt.Sprint(i), class, timeout))
+			if took := time.Since(start); took > timeout {
+				t.Errorf("request %d got its answer after %v, want at most %v", i, took, timeout)
 			}
 		})
+		time.Sleep(servers.duration(300 * time.Millisecond))
+	}
+	clients.Wait()
+	time.Sleep(10 * time.Second)
+	synctest.Wait()
+	if servers.repeats < 10 {
+		t.Errorf("got %d repeats, want at least 10", servers.repeats)
 	}
 }
