Reserve request ids in the whole node, not in one process of it

What callers saw: during an upgrade the new process served the id of a request that was open at the old one.

Cause: internal/routing/request_ids.go keeps the reserved ids in the memory of its process; internal/hotrestart shared exclusions, ownership and limits, and no ids.

Change: hotrestart.RequestIDs, a file in $TMPDIR mapped into memory with a hash table for each process. An id is claimed in the own table, looked up in the others', then confirmed; of two claims at one instant the lower process number goes first. Nothing calls the system for a request. Reservations outlive their process; each has its end by the machine's monotonic clock. Rejected: calls to the other process (it may hang or be gone), byte locks by hash (gone with their process, finished ids too), a log written for each request (refused by a full disk).

TestUpgrades and TestExclusions counted two files in the folder; they now compare the three names.

--- a/cmd/fernrail/process_coordinator.go
+++ b/cmd/fernrail/process_coordinator.go
@@ -37,14 +37,15 @@
 	log         zerolog.Logger
 	process     *hotrestart.Process
 
-	mu         sync.Mutex // guards the fields below
-	excluded   []string   // servers excluded by operators, as last passed to the router
-	readError  string     // of the last read of the exclusions; empty: none
-	recorded   int        // number of listed servers already stored for the other processes
-	limitShare float64    // fraction of the node's limits that this process may use
-	shareGrows bool       // the last check found a larger fraction than limitShare
-	owner      bool       // this process uses what only one process of a node may use
-	handedOver bool       // this process has passed the ownership to another one
+	mu              sync.Mutex // guards the fields below
+	excluded        []string   // servers excluded by operators, as last passed to the router
+	readError       string     // of the last read of the exclusions; empty: none
+	requestIDsError string     // of the last opening of the file of request ids; empty: none
+	recorded        int        // number of listed servers already stored for the other processes
+	limitShare      float64    // fraction of the node's limits that this process may use
+	shareGrows      bool       // the last check found a larger fraction than limitShare
+	owner           bool       // this process uses what only one process of a node may use
+	handedOver      bool       // this process has passed the ownership to another one
 }
 
 // join adds this process to the processes of the node and applies their shared state.
@@ -54,6 +55,9 @@
 		c.log.Warn().Err(err).Str("key", "TMPDIR").
 			Msg("joining the other processes of this node failed; continuing with what can be shared")
 	}
+	if ids := c.process.RequestIDs(); ids != nil {
+		c.router.ShareIDs(ids)
+	}
 	if c.owner = c.process.AcquireOwnership(); !c.owner {
 		c.announceOwnership()
 	}
@@ -103,6 +107,7 @@
 	c.syncOwnership()
 	c.recordListed()
 	c.syncExclusions()
+	c.syncRequestIDs()
 }
 
 // syncLimits applies this process's share of the node's limits. A larger share applies only when a second
@@ -162,12 +167,27 @@
 	c.log.Info().Strs("executors", excluded).Msg("excluded servers changed")
 }
 
+// syncRequestIDs opens the file of the reserved request ids again if it could not be used. The caller holds mu.
+func (c *processCoordinator) syncRequestIDs() {
+	err := c.process.OpenRequestIDs()
+	if err != nil && c.requestIDsError == "" {
+		c.log.Warn().Err(err).
+			Msg("sharing request ids failed; beside another process only idempotent requests are served")
+	}
+	c.requestIDsError = errorText(err)
+}
+
+// errorText returns the text of an error, or "" for none.
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 // logReadError logs a new read error once, not at each sync. The caller holds mu.
 func (c *processCoordinator) logReadError(err error) {
-	text := ""
-	if err != nil {
-		text = err.Error()
-	}
+	text := errorText(err)
 	if err != nil && text != c.readError {
 		c.log.Warn().Err(err).Msg("reading the excluded servers failed; keeping the current ones")
 	}
--- a/cmd/fernrail/upgrade_test.go
+++ b/cmd/fernrail/upgrade_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -99,8 +100,11 @@
 	old.Process.Signal(syscall.SIGTERM)
 	old.expectExit()
 	files, _ := filepath.Glob(filepath.Join(s.dir, "*"))
-	if len(files) != 2 {
-		t.Errorf("got files %q, want 2: the locks and the exclusions", files)
+	for i, name := range files {
+		files[i] = filepath.Base(name)
+	}
+	if want := []string{"fernrail-n1.bans", "fernrail-n1.ids", "fernrail-n1.locks"}; !slices.Equal(files, want) {
+		t.Errorf("got files %q, want %q: the exclusions, the request ids and the locks", files, want)
 	}
 }
 
--- a/internal/hotrestart/exclusions_test.go
+++ b/internal/hotrestart/exclusions_test.go
@@ -52,8 +52,12 @@
 		t.Errorf("next process: got %q, error %v; want the ids of the earlier processes", stored, err)
 	}
 	files, _ := filepath.Glob(filepath.Join(dir, "*"))
-	if len(files) != 2 {
-		t.Errorf("got files %q, want 2: the locks and the exclusions", files)
+	for i, name := range files {
+		files[i] = filepath.Base(name)
+	}
+	want := []string{"fernrail-n%2F1.bans", "fernrail-n%2F1.ids", "fernrail-n%2F1.locks"}
+	if !slices.Equal(files, want) {
+		t.Errorf("got files %q, want %q: the exclusions, the request ids and the locks", files, want)
 	}
 }
 
--- a/internal/hotrestart/process.go
+++ b/internal/hotrestart/process.go
@@ -2,20 +2,29 @@
 
 // Package hotrestart coordinates the processes of one node while one takes over from another. Through files
 // in a shared directory, each process sees which others run and which serve clients, which one owns what only
-// one process of the node may use, and which servers operators have excluded.
+// one process of the node may use, which servers operators have excluded, and which request ids are reserved.
 //
-// All of this state except the exclusions consists of locks on bytes of one file. The kernel releases the
+// Which processes run, serve or own something consists of locks on bytes of one file. The kernel releases the
 // locks of a process when it exits for any reason, so a dead process never counts as running, and there is no
-// state that could be read half written.
+// state that could be read half written. The exclusions and the request ids are in files of their own.
 package hotrestart
 
 import (
+	"errors"
 	"net/url"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 )
 
+// The ends of the names of the shared files. Processes of different releases share them.
+const (
+	locksSuffix      = ".locks"
+	exclusionsSuffix = ".bans"
+	requestIDsSuffix = ".ids"
+)
+
 // startingWeight is the weight of a starting process in the division of the node's limits; a serving process
 // has weight 1. A starting process needs descriptors for files, discovery and operators, but has no clients
 // yet.
@@ -30,6 +39,8 @@
 	locks    *os.File   // nil: no shared directory
 	path     string     // of the exclusion file; empty: no shared directory
 	exclusions
+
+	requestIDs *RequestIDs // nil: no shared directory
 }
 
 // Join adds this process to the processes of the named node that share the directory. If dir is empty or
@@ -41,7 +52,7 @@
 		return p, nil
 	}
 	base := filepath.Join(dir, "fernrail-"+url.PathEscape(name))
-	locks, err := os.OpenFile(base+".locks", os.O_RDWR|os.O_CREATE, 0o600)
+	locks, err := os.OpenFile(base+locksSuffix, os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
 		return p, err
 	}
@@ -50,9 +61,22 @@
 		locks.Close()
 		return p, &FileError{Path: locks.Name(), Err: err}
 	}
-	p.number, p.path, p.locks = number, base+".bans", locks
+	p.number, p.path, p.locks = number, base+exclusionsSuffix, locks
+	p.requestIDs = &RequestIDs{number: number, otherProcesses: p.OtherProcesses, clock: newMachineClock()}
 	_, err = p.Exclusions()
-	return p, err
+	return p, errors.Join(err, p.OpenRequestIDs())
+}
+
+// RequestIDs returns the request ids that the processes of the node have reserved, or nil if this process runs
+// uncoordinated.
+func (p *Process) RequestIDs() *RequestIDs { return p.requestIDs }
+
+// OpenRequestIDs opens the file of the reserved request ids if that has failed before.
+func (p *Process) OpenRequestIDs() (err error) {
+	p.withLocks(func(locks *os.File) {
+		err = p.requestIDs.open(strings.TrimSuffix(locks.Name(), locksSuffix)+requestIDsSuffix, locks)
+	})
+	return err
 }
 
 // Leave releases the locks of this process, as the kernel does when the process exits.
--- a/internal/hotrestart/stored_test.go
+++ b/internal/hotrestart/stored_test.go
@@ -3,6 +3,7 @@
 package hotrestart
 
 import (
+	"encoding/binary"
 	"os"
 	"path/filepath"
 	"slices"
@@ -90,6 +91,27 @@
 	check("the first process has left", 1, 9)
 }
 
+// TestIDFileLayout checks where a process stores a reservation in the id file, which processes of other releases
+// read: the version at offset 0, the latest end of each region in a cache line of its own from offset 64 on, and
+// the slots of 16 bytes in regions of 1 MiB from offset 4096 on, by the FNV-1a hash of the id.
+func TestIDFileLayout(t *testing.T) {
+	dir := t.TempDir()
+	join(t, dir)
+	second := join(t, dir)
+	reserve(t, "second", second, "a", true)
+	content, err := os.ReadFile(idsPath(dir))
+	if err != nil || len(content) != 4096+8<<20 {
+		t.Fatalf("got %d bytes, error %v; want %d", len(content), err, 4096+8<<20)
+	}
+	word := func(offset uint64) uint64 { return binary.NativeEndian.Uint64(content[offset:]) }
+	const keyOfA = 0xaf63dc4c8601ec8c // FNV-1a, 64 bits
+	slot := uint64(4096 + 1<<20 + keyOfA%(1<<16)*16)
+	if word(0) != 1 || word(slot) != keyOfA || word(slot+8) == 0 || word(slot+8) != word(128) {
+		t.Errorf("got version %d, key %#x, end %d, latest end %d; want 1, %#x and equal ends",
+			word(0), word(slot), word(slot+8), word(128), uint64(keyOfA))
+	}
+}
+
 // lockedBytes returns the offsets of the locked bytes of a file, queried without a lock of its own.
 func lockedBytes(t *testing.T, path string) (offsets []int64) {
 	t.Helper()
--- a/internal/routing/interfaces.go
+++ b/internal/routing/interfaces.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"fernrail/dispatch"
 	"fernrail/internal/protocol"
@@ -56,3 +57,12 @@
 	// longer runs at its server; the units that are reserved while a job may run are returned as well.
 	Release(serverFinished bool)
 }
+
+// IDRegistry reserves request ids among all processes of the node.
+type IDRegistry interface {
+	// Reserve reserves an id for a request that will be open for at most the given time. It reports false
+	// if another process has reserved the id, and an error if that cannot be determined.
+	Reserve(id string, atMost time.Duration) (reserved bool, err error)
+	// Release ends the reservation of a finished request's id after the given time.
+	Release(id string, after time.Duration)
+}
--- a/internal/routing/request_ids.go
+++ b/internal/routing/request_ids.go
@@ -6,9 +6,11 @@
 	"cmp"
 	"iter"
 	"math"
+	"net/http"
 	"time"
 
 	"fernrail/dispatch"
+	"fernrail/internal/protocol"
 )
 
 // defaultIDWindow is how long the id of a finished request stays reserved if its class sets no
@@ -68,3 +70,44 @@
 	ids.current[id] = until
 	delete(ids.previous, id)
 }
+
+// reserveID reserves the id of a new request in this process. It reports false if the id is still reserved by
+// an open or recently finished request.
+func (r *Router) reserveID(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ids.reserve(id, r.clock(), r.openIDs)
+}
+
+// openIDs iterates over the ids of the open requests. The caller must hold r.mu.
+func (r *Router) openIDs(yield func(id string) bool) {
+	for _, state := range r.requests {
+		if !yield(state.received.ID) {
+			return
+		}
+	}
+}
+
+// reserveInNode reserves an id that this process has reserved among all processes of the node. It returns the
+// response to the request if the request must not be served. If it cannot be determined what the others have
+// reserved, only idempotent requests are served; the others are shed, since they have not run.
+func (r *Router) reserveInNode(request *dispatch.Request, received *protocol.Request) *protocol.Response {
+	reserved, err := r.idRegistry.Reserve(received.ID, r.maxOpenTime(request, received))
+	if reserved || err != nil && request.Class.Idempotency == dispatch.Idempotent {
+		return nil
+	}
+	r.mu.Lock()
+	r.ids.releaseAt(received.ID, r.clock())
+	r.mu.Unlock()
+	if err == nil {
+		return &protocol.Response{Status: http.StatusConflict}
+	}
+	r.log.Debug().Err(err).Str("id", received.ID).Msg("request not served")
+	return &protocol.Response{Status: http.StatusServiceUnavailable}
+}
+
+// maxOpenTime returns the longest time for which a request can be open, with its id's window. It applies only
+// if this process ends before the request does.
+func (r *Router) maxOpenTime(request *dispatch.Request, received *protocol.Request) time.Duration {
+	return received.Timeout + time.Duration(r.settings.DeadlineMargin+idWindow(request.Class))
+}
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -36,6 +36,12 @@
 		return &protocol.Response{Status: http.StatusConflict}
 	}
 	request := r.newRequest(received)
+	if r.idRegistry != nil {
+		if rejection := r.reserveInNode(request, received); rejection != nil {
+			return rejection
+		}
+		defer r.idRegistry.Release(received.ID, time.Duration(idWindow(request.Class)))
+	}
 	state := &requestState{received: received, response: make(chan *protocol.Response, 1)}
 	if err := r.tryEvent(func() { r.arrive(request, state) }); err != nil {
 		// The module may have lost track of the request in the panic and would then never end it.
@@ -182,20 +188,3 @@
 	r.ids.releaseAt(state.received.ID, r.clock()+idWindow(request.Class))
 	return state
 }
-
-// reserveID reserves the id of a new request. It reports false if the id is still reserved by an open
-// or recently finished request.
-func (r *Router) reserveID(id string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.ids.reserve(id, r.clock(), r.openIDs)
-}
-
-// openIDs iterates over the ids of the open requests. The caller must hold r.mu.
-func (r *Router) openIDs(yield func(id string) bool) {
-	for _, state := range r.requests {
-		if !yield(state.received.ID) {
-			return
-		}
-	}
-}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -36,6 +36,7 @@
 	quotaSource        QuotaSource // nil: the node shares no budgets with other nodes
 	delay              *delayMonitor
 	onOutcome          func(serverID string, failed bool) // may be nil; set before Serve is called
+	idRegistry         IDRegistry                         // nil: the node has one process; set before Serve is called
 
 	// mu guards the module and all fields below. It is never held during a write, a dial or a log call.
 	mu               sync.Mutex
@@ -103,6 +104,9 @@
 	return r
 }
 
+// ShareIDs makes the processes of the node reserve request ids together. It must be called before Serve.
+func (r *Router) ShareIDs(registry IDRegistry) { r.idRegistry = registry }
+
 // Ready reports whether the endpoint list has at least one server.
 func (r *Router) Ready() bool {
 	r.mu.Lock()
