Hold back attempts whose server restarted while they waited for a connection

What could come: attempts decided for a warm server wait for their connections, which come up at all nodes at once when the server is back. By then the nodes know of the restart, and the server gets more than it bears in slow start.

Cause: the slow-start budget is looked at when an attempt is decided; MaySend saw a server that is up at the same address.

Change: an attempt keeps the listed start of its server, and MaySend denies it if another one is listed since.

--- a/dispatch/assignment.go
+++ b/dispatch/assignment.go
@@ -44,7 +44,7 @@
 func (d *Dispatcher) startAttempt(request *Request, server *Server) {
 	attempt := &Attempt{
 		Request: request, Server: server, Number: len(request.Attempts), InFlight: true, group: server.dedupGroup(),
-		sentAt: d.now}
+		serverStartedAt: server.startedAt, sentAt: d.now}
 	request.Attempts = append(request.Attempts, attempt)
 	request.activeAttempts++
 	request.keyState.slotsInFlight += request.Slots
@@ -62,13 +62,17 @@
 
 // MaySend reports whether an attempt may still be sent. The caller sets the clock and calls it immediately before
 // the first byte, which may be much later than the decision: the attempt waits for a connection meanwhile. By
-// then the endpoint list may have changed, and the group of servers may no longer remember the idempotency key
-// of a request that may have run before.
+// then the endpoint list may have changed, the server may have restarted, and the group of servers may no longer
+// remember the idempotency key of a request that may have run before.
 func (d *Dispatcher) MaySend(attempt *Attempt) bool {
 	request, server := attempt.Request, attempt.Server
 	if request.Done || attempt.canceled || server.State != Up || d.endpointsMayBeStale() {
 		return false
 	}
-	return server.dedupGroup() == attempt.group && d.mayRepeat(request, attempt) &&
-		request.inDedupGroup(server, attempt)
+	// A server that has restarted has less capacity than the one for which the attempt was decided, and connections
+	// that waited for it are established at the same time at all nodes.
+	if server.startedAt != attempt.serverStartedAt || server.dedupGroup() != attempt.group {
+		return false
+	}
+	return d.mayRepeat(request, attempt) && request.inDedupGroup(server, attempt)
 }
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -47,6 +47,7 @@
 	FreeSlots      float64 // reported by the server with the outcome; 0: none free, or not reported
 
 	group           dedupGroup // of the server at the decision
+	serverStartedAt int64      // start of the server that was listed at the decision
 	sentAt          int64
 	startedAt       int64 // 0: not reported
 	progressAt      int64 // time of the latest progress report; 0: none
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -30,6 +30,7 @@
 	checker        *invariants.Checker // receives all events; independent of the dispatcher
 	checkerError   error               // first event that the checker could not process
 	accepted       int
+	connectCycle   int64 // connections are established only at multiples of this time; 0: at once
 }
 
 func (h *cluster) record(e invariants.Event) {
@@ -53,11 +54,33 @@
 	d        *Dispatcher
 	servers  []*Server
 	timers   []*timer
-	inFlight []*Attempt
+	dialing  []*Attempt // in flight without a connection
+	inFlight []*Attempt // sent
 	sentAt   map[*Attempt]int64
 }
 
 func (n *clusterNode) StartAttempt(attempt *Attempt) {
+	if n.connectCycle > 0 {
+		n.dialing = append(n.dialing, attempt)
+	} else {
+		n.send(attempt)
+	}
+}
+
+// connect sends the attempts that were waiting for a connection, as far as the dispatcher still permits them.
+func (n *clusterNode) connect() {
+	waiting := n.dialing
+	n.dialing = nil
+	for _, attempt := range waiting {
+		if n.d.MaySend(attempt) {
+			n.send(attempt)
+		} else {
+			n.d.AttemptEnded(attempt, NotSent, 0, attempt.Request.Done)
+		}
+	}
+}
+
+func (n *clusterNode) send(attempt *Attempt) {
 	i := slices.Index(n.servers, attempt.Server)
 	work := attempt.Request.size
 	if n.work != nil {
@@ -195,7 +218,7 @@
 			for arrivals := arrivalsPerTick; arrivals > 0 && h.Float64() < arrivals; arrivals-- {
 				h.accepted++
 				request := &Request{Tag: strconv.Itoa(h.accepted), Class: h.settings.Classes[0], Slots: 1,
-					ExpectedWork: size/2 + h.Int64N(size), Deadline: h.now + 1e9}
+					ExpectedWork: size/2 + h.Int64N(size), Deadline: h.now + max(1e9, 2*h.connectCycle)}
 				if h.work != nil {
 					request.ExpectedWork, request.Deadline, h.workOf[request] =
 						0, h.now+h.clientTimeout, h.work()
@@ -205,6 +228,9 @@
 					Request: request.Tag, Class: "s", Deadline: request.Deadline})
 				n.d.Arrive(request)
 			}
+			if n.connectCycle > 0 && h.now%n.connectCycle < h.settings.Tick {
+				n.connect()
+			}
 			n.d.ProcessQueue()
 			for _, attempt := range slices.Clone(n.inFlight) {
 				if o := Succeeded; h.rejecting || h.now-n.sentAt[attempt] >= n.runtimeOf(attempt) {
--- a/dispatch/slowstart_cluster_test.go
+++ b/dispatch/slowstart_cluster_test.go
@@ -133,3 +133,27 @@
 			used, h.maxBudgetShare())
 	}
 }
+
+// TestSlowStartBudgetWithLateConnections checks the budget if connections are established late and many at once,
+// as after a moment in which a server does not answer. Attempts that were decided in several turns, or before the
+// server was listed as restarted, are then sent in one window.
+func TestSlowStartBudgetWithLateConnections(t *testing.T) {
+	for _, nodes := range []int{80, 300} {
+		for _, windows := range []float64{0.25, 1} {
+			h := newCluster(uint64(nodes), nodes, 2)
+			h.connectCycle = int64(windows * float64(h.settings.OverloadWindow))
+			h.advance(h.settings.OverloadWindow, 1e8, 0)
+			arrivals := min(800/float64(nodes), 1) / 4
+			h.advance(3*h.settings.OverloadWindow/2, 1e8, arrivals)
+			h.restartServers(0, 1)
+			h.sent = make([][]timedAmount, len(h.startedAt))
+			h.advance(2*h.settings.OverloadWindow, 1e8, arrivals)
+			worst := h.maxBudgetShare()
+			t.Logf("%d nodes, connections each %d ms: %.2f of a budget sent", nodes, h.connectCycle/1e6, worst)
+			if worst > 1 {
+				t.Errorf("%d nodes, connections each %d ms: %.2f of a budget was sent, want at most 1",
+					nodes, h.connectCycle/1e6, worst)
+			}
+		}
+	}
+}
