Gossip: give the transport a logger; one empty datagram ended a node

Cause: memberlist.NetTransportConfig was created without a Logger, and the transport logs through it.

--- a/internal/fleet/membership.go
+++ b/internal/fleet/membership.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"log"
 	"maps"
 	"net"
 	"slices"
@@ -89,6 +90,8 @@
 	transport, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{
 		BindAddrs: []string{settings.BindAddr},
 		BindPort:  settings.BindPort,
+		// The transport logs errors of its listeners, and would end the process without a logger.
+		Logger: log.New(settings.LogOutput, "", 0),
 	})
 	if err != nil {
 		return err
