Shutdown: start the drain at the signal, beside the calls to silent nodes

Cause: shutDown called budgets.ReleaseAddresses before router.Shutdown. The end of gossip waits for a goroutine in memberlist's Join, which takes no context and waits for 4 election timeouts for each silent node.

Change: deadlines are limited first, the addresses are released beside the drain, the gossip transport closes its streams to others when it ends, and the end of the fleet part after the last answer is bounded by 1 s.

--- a/cmd/fernrail/run.go
+++ b/cmd/fernrail/run.go
@@ -25,6 +25,8 @@
 	// that deadline: one margin is for the dispatcher, a second one for sending the last answers, and the
 	// rest for the exit itself.
 	shutdownMargin = 300 * time.Millisecond
+	// fleetCloseTime bounds the end of the fleet part, which comes after the last answer and notifies other nodes.
+	fleetCloseTime = time.Second
 	// discoveryWait bounds the wait of a successor process for discovery. The process must serve within 6 s.
 	discoveryWait = 4 * time.Second
 )
@@ -65,7 +67,7 @@
 		return err
 	}
 	if budgets != nil {
-		defer budgets.Close()
+		defer runWithin(fleetCloseTime, budgets.Close)
 	}
 	n := newNode(c, budgets, log)
 	defer n.processes.leave()
@@ -183,20 +185,34 @@
 		Msg("node serves")
 }
 
-// shutDown hands over to another process of the node, if one serves, and answers all requests in flight.
+// shutDown hands over to another process of the node, if one serves, and answers all requests in flight. The time
+// for that starts at once: no step before it waits for other nodes.
 func (n *node) shutDown() {
+	timeout := shutdownTime(n.config)
+	n.router.Shutdown(timeout)
 	handedOver := n.processes.handOver()
 	if n.budgets != nil && handedOver {
-		n.budgets.ReleaseAddresses()
+		go n.budgets.ReleaseAddresses() // waits for calls to voters that may not answer
 	}
 	n.log.Info().Bool("successor", handedOver).Msg("node stops")
-	timeout := shutdownTime(n.config)
-	n.router.Shutdown(timeout)
 	if err := n.server.Stop(timeout+shutdownMargin, handedOver); err != nil {
 		n.log.Warn().Err(err).Msg("shutdown incomplete; exiting with clients connected")
 	}
 }
 
+// runWithin calls a function and returns when it has returned, or after a time-out.
+func runWithin(timeout time.Duration, call func()) {
+	returned := make(chan struct{})
+	go func() {
+		defer close(returned)
+		call()
+	}()
+	select {
+	case <-returned:
+	case <-time.After(timeout):
+	}
+}
+
 // listen opens the client listener, or takes over the inherited one.
 func listen(c *config.Node) (net.Listener, error) {
 	if c.ListenFD == 0 {
--- a/internal/fleet/membership.go
+++ b/internal/fleet/membership.go
@@ -73,7 +73,7 @@
 	}
 	m.broadcasts.RetransmitMult = retransmitFactor
 	m.broadcasts.NumNodes = m.count
-	if err := m.create(); err != nil {
+	if err := m.create(ctx); err != nil {
 		cancel()
 		return nil, err
 	}
@@ -81,8 +81,8 @@
 	return m, nil
 }
 
-// create binds the gossip address and starts the library.
-func (m *membership) create() error {
+// create binds the gossip address and starts the library. Its calls to other nodes end with the context.
+func (m *membership) create(ctx context.Context) error {
 	settings, err := m.settings()
 	if err != nil {
 		return err
@@ -96,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	settings.Transport = &routedTransport{NetTransport: transport, routes: m.fleet.AddressOverrides}
+	settings.Transport = &routedTransport{NetTransport: transport, ctx: ctx, routes: m.fleet.AddressOverrides}
 	m.list, err = memberlist.Create(settings)
 	if err != nil {
 		// The error of Create is the one to report.
--- a/internal/fleet/routed_transport.go
+++ b/internal/fleet/routed_transport.go
@@ -3,15 +3,18 @@
 package fleet
 
 import (
+	"context"
 	"net"
 	"time"
 
 	"github.com/hashicorp/memberlist"
 )
 
-// routedTransport is a gossip transport that replaces some destination addresses by others.
+// routedTransport is a gossip transport that replaces some destination addresses by others. The end of its context
+// ends all streams to other nodes, which may not answer: the library's calls take no context.
 type routedTransport struct {
 	*memberlist.NetTransport
+	ctx    context.Context
 	routes map[string]string // the address to use, by destination address
 }
 
@@ -35,12 +38,29 @@
 
 // DialTimeout implements memberlist.Transport.
 func (t *routedTransport) DialTimeout(address string, timeout time.Duration) (net.Conn, error) {
-	return t.NetTransport.DialTimeout(t.route(address), timeout)
+	dialer := net.Dialer{Timeout: timeout}
+	conn, err := dialer.DialContext(t.ctx, "tcp", t.route(address))
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(t.ctx, func() { conn.Close() })
+	return &canceledConn{Conn: conn, stop: stop}, nil
 }
 
 // DialAddressTimeout implements memberlist.NodeAwareTransport.
 func (t *routedTransport) DialAddressTimeout(
 	address memberlist.Address, timeout time.Duration) (net.Conn, error) {
-	address.Addr = t.route(address.Addr)
-	return t.NetTransport.DialAddressTimeout(address, timeout)
+	return t.DialTimeout(address.Addr, timeout)
+}
+
+// canceledConn is a connection that is closed at the end of a context.
+type canceledConn struct {
+	net.Conn
+	stop func() bool // releases the context
+}
+
+// Close implements net.Conn.
+func (c *canceledConn) Close() error {
+	c.stop()
+	return c.Conn.Close()
 }
