Two transport tests no longer depend on the order in which processes get a core

One run of internal/transport failed beside other work.

Each client now waits until it is accepted and what the pending ones sent is read. In the second one the request arrives before the end of the client's data, an attempt at a closed port fails, and the node answers 503 for that. Request and end now go in one segment (TCP_CORK), so the node can't see one without the other; that is what the test's text says.

No assertion or bound is changed.

--- a/internal/transport/client_close_test.go
+++ b/internal/transport/client_close_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"fernrail/dispatch"
 	"fernrail/internal/protocol"
@@ -233,6 +235,25 @@
 	}
 }
 
+// writeAndCloseAtOnce sends a text and the end of the client's data in one segment, so that the node cannot see the
+// text without the end.
+func writeAndCloseAtOnce(t *testing.T, c *net.TCPConn, text string) {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var corkErr error
+	err = raw.Control(func(fd uintptr) {
+		corkErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_CORK, 1)
+	})
+	if err := errors.Join(err, corkErr); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, text)
+	c.CloseWrite()
+}
+
 // TestHalfClosedClientIsRejected checks that a client that closes its sending direction counts as
 // disconnected: no attempt is sent for it. It may still read, so it receives one final rejection and then the
 // end of the connection.
@@ -245,8 +266,7 @@
 		node := startNode(t, closeSignaled, known...)
 		address, disconnected := node.address, node.disconnected
 		c := dialAndWrite(t, address, "").(*net.TCPConn)
-		io.WriteString(c, jobRequest)
-		c.CloseWrite()
+		writeAndCloseAtOnce(t, c, jobRequest)
 		waitFor(t, "detection of the client's close", disconnected)
 		text, err := io.ReadAll(c)
 		responses := strings.Count(string(text), "HTTP/1.1")
--- a/internal/transport/eviction_test.go
+++ b/internal/transport/eviction_test.go
@@ -27,6 +27,7 @@
 	var silent []net.Conn
 	for i := range 100 {
 		silent = append(silent, dialAndWrite(t, address, unfinished[i%3]))
+		awaitPendingRead(t, budget, silent[i])
 	}
 	if got := readResponse(t, dialAndWrite(t, address, requestHead+"b")); got.StatusCode != 200 {
 		t.Errorf("new client: got status %d, want 200", got.StatusCode)
@@ -50,6 +51,31 @@
 	}
 }
 
+// awaitPendingRead waits until the node has accepted a client and has read what its pending connections have sent.
+// One with unread bytes is not evicted, so a process that is short of processor time would reclaim idle connections
+// in its place.
+func awaitPendingRead(t *testing.T, budget *ConnectionBudget, client net.Conn) {
+	t.Helper()
+	pendingRead := func() bool {
+		budget.mu.Lock()
+		defer budget.mu.Unlock()
+		accepted := false
+		for element := budget.pending.Front(); element != nil; element = element.Next() {
+			c := element.Value.(*clientConn)
+			accepted = accepted || c.RemoteAddr().String() == client.LocalAddr().String()
+			if c.hasUnreadData() {
+				return false
+			}
+		}
+		return accepted
+	}
+	for start := time.Now(); !pendingRead(); time.Sleep(100 * time.Microsecond) {
+		if time.Since(start) > 5*time.Second {
+			t.Fatal("the node does not accept a client and read its pending connections within 5 s")
+		}
+	}
+}
+
 // TestUnreadRequestsAreNotEvicted checks that a new connection evicts one that has sent nothing, and not one
 // with an unread request in its socket, while permits are available. On an overloaded process the connections
 // with unread requests are the oldest, and would be closed without a response.
