Discovery: a dial ends after 1.5 s, so that it does not outlive an outage

Cause: net/http lets a dial go on when its poll has ended, without a time-out, and MaxConnsPerHost allows one connection. The kernel's next SYN decides when the node is back.

--- a/internal/transport/discovery_client.go
+++ b/internal/transport/discovery_client.go
@@ -7,14 +7,20 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"fernrail/internal/protocol"
 )
 
-// firstWatchWait is the long-poll time-out sent to discovery in the first poll for changes.
-const firstWatchWait = time.Millisecond
+const (
+	// firstWatchWait is the long-poll time-out sent to discovery in the first poll for changes.
+	firstWatchWait = time.Millisecond
+	// discoveryDialTimeout limits the time to connect to discovery. It includes the second SYN of the kernel,
+	// after 1 s; further ones are sent at growing intervals, later than a new dial.
+	discoveryDialTimeout = 3 * protocol.WatchResponseMargin / 2
+)
 
 var (
 	// errDiscoveryTimeout is returned if discovery sent no response, or only part of one, before the
@@ -29,23 +35,31 @@
 	address       string
 	names         *protocol.Names
 	transport     http.RoundTripper
+	dialContext   func(ctx context.Context, network, address string) (net.Conn, error)
 	polledChanges bool // at least one poll for changes was made
 }
 
 // NewDiscoveryClient returns a client for the discovery service at an address.
 func NewDiscoveryClient(address string, names *protocol.Names) *DiscoveryClient {
-	return &DiscoveryClient{
-		address: address,
-		names:   names,
-		transport: &http.Transport{
-			DisableCompression: true,
-			MaxConnsPerHost:    1,
-			// Each poll follows the previous one immediately, so a connection that is idle for longer belongs
-			// to an agent that is no longer polled.
-			IdleConnTimeout:        protocol.WatchWait,
-			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
+	d := &DiscoveryClient{address: address, names: names, dialContext: (&net.Dialer{}).DialContext}
+	d.transport = &http.Transport{
+		DialContext:        d.dial,
+		DisableCompression: true,
+		MaxConnsPerHost:    1,
+		// Each poll follows the previous one immediately, so a connection that is idle for longer belongs
+		// to an agent that is no longer polled.
+		IdleConnTimeout:        protocol.WatchWait,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
+	return d
+}
+
+// dial opens a connection to discovery. http.Transport does not end a dial with the request for which it was made,
+// and the dial holds the one connection that is allowed.
+func (d *DiscoveryClient) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, discoveryDialTimeout)
+	defer cancel()
+	return d.dialContext(ctx, network, address)
 }
 
 // Poll gets the full endpoint list, or waits for changes since a version. The first poll for changes does not
