--- a/dispatch/idempotency.go
+++ b/dispatch/idempotency.go
@@ -40,7 +40,7 @@
 	case NonIdempotent:
 		return false
 	case IdempotentInGroup:
-		return d.now-first.sentAt < request.Class.DedupWindow-d.settings.Tick-d.settings.MaxSendDelay
+		return d.now-first.sentAt < request.Class.DedupWindow-d.settings.Tick
 	default:
 		return true
 	}
--- a/dispatch/settings.go
+++ b/dispatch/settings.go
@@ -85,7 +85,6 @@
 	StartTimeError      int64       // maximum error of a server's start time, in either direction
 	MaxPollInterval     int64       // maximum time between the starts of a failed poll and the next one
 	DrainGrace          int64       // how long requests may still be sent to a draining or removed server
-	MaxSendDelay        int64       // longest time from MaySend to the write of the first byte
 	Quotas              QuotaSource // quotas of the budgets that all nodes share; nil: no shared budgets
 }
 
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -24,9 +24,6 @@
 	defaultProbeTimeout = 500 * time.Millisecond
 
 	firstInheritedFD = 3 // after the standard files
-
-	// maxSendDelay is how long the platform's machines may suspend a process between two of its steps.
-	maxSendDelay = 150 * time.Millisecond
 )
 
 // Defaults of the settings that the node uses itself, which the dispatcher does not decode.
@@ -98,7 +95,6 @@
 	// polled, even if earlier polls failed.
 	n.Settings.MaxPollInterval = int64(protocol.PollRetryInterval)
 	n.Settings.UnpolledEventAge = min(n.Settings.UnpolledEventAge, n.Settings.MaxPollInterval)
-	n.Settings.MaxSendDelay = int64(maxSendDelay)
 	grace := n.Settings.DrainGrace
 	if grace <= 0 {
 		return
