--- a/dispatch/idempotency.go
+++ b/dispatch/idempotency.go
@@ -85,7 +85,7 @@
 			return false
 		}
 	}
-	if !d.mayRepeat(request, nil) || !request.inDedupGroup(server, nil) {
+	if len(request.Attempts) > 0 && (!d.mayRepeat(request, nil) || !request.inDedupGroup(server, nil)) {
 		return false
 	}
 	return d.settings.withinQuotas(request, server) && d.withinSlowStartBudget(request, server)
